--- /dev/null
+++ b/lilacloft/__init__.py
@@ -0,0 +1,1 @@
+"""lilacloft: decides where objects are served, kept and filled from."""
--- /dev/null
+++ b/lilacloft/decide.py
@@ -0,0 +1,384 @@
+"""Every decision of a lilacloft gateway: where a req goes, where its copy comes from, and when it is given up.
+
+How to call it: make one Router a gateway from a Host (its interface stands in lilacloft/host.py), the settings by
+name and a seed; then call the method named for each thing that happens. It acts by calling the host at once.
+All times and spans are whole tenths of a millisecond; records (Req, Be, Obj) stand in lilacloft/state.py.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import zlib
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+from typing import Any
+
+from lilacloft.host import Host
+from lilacloft.state import Be, Obj, Req
+
+FLOOR = 6  # ordinary objects that one gateway may always have in flight at their home: the bound never bites below
+SPREAD = 2.0  # and above that, this multiple of the pool's mean in flight per weight (bounded loads; 2 halves no home)
+TABLE = 1 << 15  # objects remembered; an object pushed out of the table merely counts as new
+RENEW_FROM = 0.8  # the wire renews a copy in the last fifth of its fresh time, so a mark is due again from there
+MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and other gateways may get more clients
+LEARN = 1 / 16  # weight of one observation in a moving mean: some twenty make it new
+DEVIATIONS = 4.0  # an answer later than the mean by so many mean deviations is a symptom
+STRIKES = 2  # symptoms in a row, with no answer between them, that make a be suspect
+SWEEP = 5000  # span of the periodic work
+RAN = ("error", "timeout", "reset", "cancelled")  # outcomes after which a dispatch may have run
+
+
+class Vhost:
+    """One vhost: its settings, and its sending and answering times as learned."""
+
+    def __init__(self, config: Mapping[str, Any], family: Mapping[str, Any], place: int) -> None:
+        self.target = config["first_byte_target"]
+        self.stretch = config.get("aim_stretch") or 0.0
+        self.value, self.effect = config["value"], config["effect"]
+        self.group, self.window = config.get("repeat_group", "all"), config.get("repeat_window", 0)
+        self.fresh, self.grace, self.uncacheable = (
+            (family.get(name) or [0] * (place + 1))[place] for name in ("fresh", "grace", "uncacheable"))
+        self.work = self.target / 2  # mean sending time; until one is seen, what a target must leave room for
+        self.over, self.dev = self.target / 4, self.target / 8  # mean time beyond the sending time, and its deviation
+
+    def learn(self, took: int, work: float) -> None:
+        """Take in the time of one answer, or of one that is overdue."""
+        self.work += LEARN * ((work or took) - self.work)
+        self.dev += LEARN * (abs(took - work - self.over) - self.dev)
+        self.over += LEARN * (took - work - self.over)
+
+
+class Router:
+    """One gateway's decisions."""
+
+    def __init__(self, host: Host, settings: Mapping[str, Any], seed: int) -> None:
+        self.host, self.seed, self.draws = host, seed, 0
+        family, self.rules, self.limits = settings["family"], settings["rules"], settings["limits"]
+        self.vhosts = [Vhost(config, family, place) for place, config in enumerate(settings["vhosts"])]
+        self.zone, self.gateways = settings["zone"], settings["gateways"]
+        self.zone_gateways = max(1, family["zone_gateways"][self.zone])
+        self.parent_kind, self.origin_kind = family["parent_kind"], family["source_kind"]
+        self.pace = family["pace_kb_per_s"] / 10_000  # KB in a tenth of a millisecond
+        self.feed = [rate / 10_000 for rate in family.get("feed_kb_per_s") or [0] * (self.zone + 1)]
+        self.sizes_told = settings.get("weight_source", "silent") != "silent"
+        self.direct, self.joins = family["pass_through_ok"], family["joins"]
+        self.purge_done = family["purge_done"] + 1
+        self.cold = {False: (self.rules["start_capacity"], self.rules["cold"] + 1, self.rules["tip_multiple"]),
+                     True: (family["parent_floor"], family["parent_warms_in"] + 1, family["parent_breaks_at"])}
+        self.tick, self.fall = settings["granularity"], self.rules["fall"]
+        self.max_dispatches, self.can_cancel = self.limits["max_dispatches"], self.limits["cancel"]
+        self.known: dict[str, Be] = {}
+        self.caches: list[Be] = []
+        self.parents: list[Be] = []
+        self.origins: list[Be] = []
+        self.objs: dict[tuple[str, int], Obj] = {}
+        self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
+        self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
+        self.pushed = 0
+        self.armed: int | None = None
+        self.unit = 0.0  # mean bytes of a req, or 1 where sizes are unknown
+        if settings["discovery"] == "subscribe":
+            host.subscribe(True)
+        self.subscribes = settings["discovery"] == "subscribe"
+        host.wake(host.now() + SWEEP, "sweep")
+
+    # --- the list ---
+
+    def listed(self, mode: str, entries: Iterable[tuple[Be, int, int, int, int, float, int]]) -> None:
+        """Discovery tells of caches, parents and the origin."""
+        if mode == "failed":
+            if self.subscribes:
+                self.host.wake(self.host.now() + SWEEP, "subscribe")
+            return
+        if mode != "delta":
+            for be in self.known.values():
+                be.status = 0
+        for be, be.zone, be.kind, be.cell, be.status, size, started in entries:
+            be.size = size if size > 0 else 1.0
+            if started > be.started:
+                be.started, be.suspect, be.strikes, be.backoff = started, False, 0, 0
+            self.known[be.name] = be
+        ready = sorted((be for be in self.known.values() if be.status == 1), key=lambda be: be.name)
+        self.parents = [be for be in ready if be.kind == self.parent_kind]
+        self.origins = [be for be in ready if be.kind == self.origin_kind]
+        self.caches = [be for be in ready if be.zone == self.zone
+                       and be.kind not in (self.parent_kind, self.origin_kind)]
+
+    # --- reqs ---
+
+    def arrived(self, req: Req) -> None:
+        """A client asks."""
+        vhost = self.vhosts[req.vhost]
+        req.units = req.kbytes or 1.0
+        self.unit += LEARN * (req.units - self.unit) if self.unit else req.units
+        self._push(req.until - self.tick, req, -1)
+        if not (vhost.uncacheable or req.write):
+            place = (req.key, req.part)
+            req.obj = self.objs.pop(place, None) or Obj()
+            self.objs[place] = req.obj  # least lately asked first
+            if len(self.objs) > TABLE:
+                del self.objs[next(iter(self.objs))]
+            req.obj.seen += 1
+        self._walk(req)
+
+    def flowing(self, req: Req, seq: int) -> None:
+        """A stream has begun: it has neither time-out nor client timeout any more."""
+        req.flowing = req.out and seq == req.tries - 1
+
+    def ended(self, req: Req, be: Be, seq: int, outcome: str, took: int, final: bool, note: int, waited: int,
+              load: list[float]) -> None:
+        """A dispatch is over."""
+        if not req.out or seq != req.tries - 1:
+            return
+        source = self._release(req, be)
+        self._blame(req, be, source, outcome, took, note)
+        if final:
+            req.closed = True
+        if req.closed:
+            return
+        if outcome in RAN and req.first_ran is None:
+            req.first_ran, req.ran_at = req.sent, be
+        if note not in (6, 7, 8, 10):
+            req.avoid.append(be)
+        if note != 9 and source is not be:
+            req.avoid.append(source)
+        req.rejoin = False  # what just failed may be the fill itself
+        self._walk(req)
+
+    def left(self, req: Req) -> None:
+        """The client has gone."""
+        if not req.closed:
+            req.closed = True
+            if req.out and self.can_cancel and not req.flowing:
+                self.host.cancel(req, req.tries - 1)
+
+    def purged(self, key: str, group: int, age: int) -> None:
+        """An object, or without a key a whole group, was purged."""
+        at = self.host.now() - age
+        self.purges[key or group] = max(at, self.purges.get(key or group, at))
+
+    def checked(self, be: Be, took: int, outcome: str, load: list[float]) -> None:
+        """A health check is answered."""
+
+    def heard(self, peer: int, text: str) -> None:
+        """A peer has sent a message."""
+
+    def woke(self, token: str) -> None:
+        """A time asked for has come."""
+        now = self.host.now()
+        if token == "subscribe":
+            self.host.subscribe(True)
+        elif token == "sweep":
+            self.purges = {what: at for what, at in self.purges.items() if now - at <= self.purge_done}
+            self.host.wake(now + SWEEP, "sweep")
+        elif token == "due":
+            self.armed = None
+            while self.due and self.due[0][0] <= now:
+                _, _, req, seq = heapq.heappop(self.due)
+                if req.closed or req.flowing:
+                    continue
+                if seq < 0:
+                    self._answer(req)
+                elif req.out and seq == req.tries - 1:
+                    self._overdue(req)
+            self._arm()
+
+    # --- the walk ---
+
+    def _walk(self, req: Req) -> None:
+        """Send a req to the first in hash order that may take it; end it at once where none may."""
+        vhost, now = self.vhosts[req.vhost], self.host.now()
+        if req.tries >= self.max_dispatches or now >= req.until - self.tick:
+            return self._answer(req)
+        passed = vhost.uncacheable or req.write
+        homes = self._order(self.caches, req.key)
+        parents = self._order(self.parents, req.key)
+        sources = self.origins if passed else [be for be in parents if self._fit(be, self.parents)] + self.origins
+        sources = [be for be in sources if be not in req.avoid] or self.origins
+        tried = [be for be in homes if be not in req.avoid]
+        ways = [(be, sources) for be in tried if self._fit(be, self.caches)]
+        ways += [(be, sources) for be in tried]
+        if self.direct:
+            over = [(be, [be]) for be in sources]
+            ways = over + ways if passed else ways + over
+        for be, fills in ways:
+            for source in fills:
+                if self._send(req, be, source):
+                    return None
+        return self._answer(req)
+
+    @staticmethod
+    def _order(pool: list[Be], key: str) -> list[Be]:
+        """Hash order (weighted rendezvous): the same at every gateway, and no home moves but a lost one's."""
+        def draw(be: Be) -> float:
+            drawn = int.from_bytes(blake2b(f"{key} {be.name}".encode(), digest_size=8).digest(), "big")
+            return -math.log((drawn + 1) / 2**64) / be.size
+        return sorted(pool, key=draw)
+
+    def _fit(self, be: Be, pool: list[Be]) -> bool:
+        """The bound: too much of this gateway's own in flight there?"""
+        mean = sum(peer.load for peer in pool) / sum(peer.size for peer in pool)
+        return be.load <= max(FLOOR * self.unit, SPREAD * mean * be.size)
+
+    def _age(self, req: Req) -> int:
+        """The oldest copy that will do, 0 for any: fresh or in the grace, and never older than a known purge."""
+        vhost, now = self.vhosts[req.vhost], self.host.now()
+        age = vhost.fresh + vhost.grace if vhost.fresh else 0
+        purges = [at for at in (self.purges.get(req.key), self.purges.get(req.group)) if at is not None]
+        if purges and now - max(purges) <= self.purge_done:
+            since = max(1, now - max(purges) - 1)
+            age = min(age, since) if age else since
+        return age
+
+    def _send(self, req: Req, be: Be, source: Be) -> bool:
+        """The gate that every dispatch passes: the rules on effects, drains, cold starts and purges."""
+        vhost, now = self.vhosts[req.vhost], self.host.now()
+        if req.closed or req.out or be.status != 1 or source.status != 1:
+            return False
+        if req.first_ran is not None and vhost.effect != "replayable":
+            held = {"all": True, "zone": be.zone == req.ran_at.zone, "cell": be.cell == req.ran_at.cell}
+            if vhost.effect != "uniqued" or not held[vhost.group] or now >= req.first_ran + vhost.window - self.tick:
+                return False
+        touched = (be,) if be is source else (be, source)
+        for peer in touched:
+            if peer.suspect and (now < peer.retry_at or peer.trial or vhost.effect != "replayable"):
+                return False
+        work = req.kbytes / self.pace
+        if not all(self._room(peer, vhost.work) for peer in touched):
+            return False
+        obj, renew, rank = req.obj, False, 0
+        if obj is not None:
+            rank = 1 if obj.seen < 2 else 2
+            renew = vhost.fresh > 0 and (obj.marked is None or now - obj.marked >= RENEW_FROM * vhost.fresh)
+            if renew:
+                obj.marked = now
+        limit = req.until - self.tick - now
+        for peer in touched:
+            peer.budget.append((now, vhost.work))
+            peer.load += req.units
+            if peer.suspect:
+                peer.trial = req
+        be.reqs[req] = None
+        req.be, req.source, req.sent, req.out = be, source, now, True
+        req.tries += 1
+        self._push(now + int(work + vhost.over + DEVIATIONS * vhost.dev) + 1, req, req.tries - 1)
+        join = obj is not None and self.joins and req.rejoin
+        self.host.fetch(req, be, limit, source, rank, self._age(req), join, False, False, renew)
+        return True
+
+    def _room(self, be: Be, work: float) -> bool:
+        """Rule 4: may a be that started lately take this much work, with what all gateways send it?"""
+        while be.budget and be.budget[0][0] < self.host.now() - self.fall - self.tick:
+            be.budget.pop(0)
+        if be.kind == self.origin_kind:
+            return True
+        parent = be.kind == self.parent_kind
+        floor, warm, multiple = self.cold[parent]
+        age = self.host.now() - be.started
+        if not be.started or age >= warm:
+            return True
+        if self.sizes_told:
+            capacity = be.size
+        elif parent:  # its link is made for what the locations' links bring in
+            capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 2
+        else:  # a location's caches together send more than its link for fills brings in
+            capacity = self.feed[self.zone] / self.pace / max(1, len(self.caches))
+        share = floor + (1 - floor) * max(0, age - self.fall) / warm
+        gateways = self.gateways if parent else self.zone_gateways
+        allowed = MARGIN * multiple * share * (capacity or 1.0) * self.fall / gateways
+        return sum(sent for _, sent in be.budget) + work <= allowed
+
+    def _release(self, req: Req, be: Be) -> Be:
+        """Take a dispatch that is over out of the accounts; returns its source."""
+        source = req.source
+        for peer in ((be,) if be is source else (be, source)):
+            peer.load = max(0.0, peer.load - req.units)
+            if peer.trial is req:
+                peer.trial = None
+        be.reqs.pop(req, None)
+        req.out = req.flowing = False
+        return source
+
+    def _answer(self, req: Req) -> None:
+        """The one place of final answers: denied where a repeat is harmless, else aborted."""
+        if req.closed:
+            return
+        vhost = self.vhosts[req.vhost]
+        req.closed = True
+        ran = req.out or req.first_ran is not None
+        if req.out and self.can_cancel:
+            self.host.cancel(req, req.tries - 1)
+        if not ran or vhost.effect == "replayable" or (vhost.effect == "uniqued" and vhost.group == "all"):
+            self.host.deny(req, self.limits["max_retry_after"] if self.limits["retry_after"] else 0)
+        else:
+            self.host.abort(req)
+
+    # --- health ---
+
+    def _blame(self, req: Req, be: Be, source: Be, outcome: str, took: int, note: int) -> None:
+        """Judge a cache and its source by how a dispatch ended."""
+        now, vhost = self.host.now(), self.vhosts[req.vhost]
+        if outcome in ("done", "miss", "full"):
+            self._clear(be)
+        if outcome == "done":
+            vhost.learn(took, req.kbytes / self.pace)
+            if note in (0, 2, 3):
+                self._clear(source)
+        elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
+            self._strike(be, now)
+        elif note in (7, 10):
+            self._strike(source, now)
+
+    def _clear(self, be: Be) -> None:
+        if be.suspect:
+            self.host.log(f"{be.name} answers again")
+        be.heard, be.strikes, be.backoff, be.suspect = self.host.now(), 0, 0, False
+
+    def _strike(self, be: Be, now: int) -> None:
+        """Count a symptom; enough of them in a row leave a be to trials, more and more sparsely."""
+        be.strikes += 1
+        if be.kind == self.origin_kind or be.strikes < STRIKES:
+            return
+        longest = max(vhost.target for vhost in self.vhosts)
+        be.backoff = min(max(longest, 2 * be.backoff), 16 * longest)
+        be.retry_at = now + be.backoff
+        if not be.suspect:
+            be.suspect = True
+            self.host.log(f"{be.name} left alone after {be.strikes} symptoms")
+            for req in [req for req in be.reqs if req.sent > be.heard]:
+                self._recall(req)
+
+    def _overdue(self, req: Req) -> None:
+        """A dispatch takes far longer than its like."""
+        now, be, source = self.host.now(), req.be, req.source
+        if be.heard < req.sent:  # nothing has come from there since: the cache
+            self._strike(be, now)
+            self._recall(req)
+        elif source is not be and source.struck_by is not be:  # the cache answers others: its source
+            source.struck_by = be
+            self._strike(source, now)
+            if source.suspect:
+                self._recall(req)
+
+    def _recall(self, req: Req) -> None:
+        """Call a dispatch back; its outcome sends the req on. Only where that can do no harm."""
+        if req.out and self.can_cancel and not req.flowing and self.vhosts[req.vhost].effect == "replayable":
+            self.host.cancel(req, req.tries - 1)
+
+    # --- due times ---
+
+    def _push(self, when: int, req: Req, seq: int) -> None:
+        self.pushed += 1
+        heapq.heappush(self.due, (when, self.pushed, req, seq))
+        self._arm()
+
+    def _arm(self) -> None:
+        if self.due and (self.armed is None or self.due[0][0] < self.armed):
+            self.armed = self.due[0][0]
+            self.host.wake(self.armed, "due")
+
+    def _draw(self) -> float:
+        """A number from 0 to 1."""
+        self.draws += 1
+        return zlib.crc32(f"{self.seed} {self.draws}".encode()) / 2**32
--- /dev/null
+++ b/lilacloft/drill/__main__.py
@@ -0,0 +1,7 @@
+"""Run the adapter on standard input and output."""
+
+import sys
+
+from lilacloft.drill.wire import main
+
+sys.exit(main(sys.stdin.buffer, sys.stdout.buffer, sys.stderr))
--- /dev/null
+++ b/lilacloft/host.py
@@ -0,0 +1,51 @@
+"""What the decision module is handed at start: the only way in which it acts."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from lilacloft.state import Be, Req
+
+
+class Host(Protocol):
+    """One gateway's means of acting. Times and spans are whole tenths of a millisecond."""
+
+    def now(self) -> int:
+        """Tell the time."""
+
+    def look(self, req: Req, be: Be, limit: int) -> None:
+        """Dispatch a req to a be, which answers from its own fresh copy or misses."""
+
+    def fetch(self, req: Req, be: Be, limit: int, source: Be, rank: int, age: int,
+              join: bool, held_only: bool, no_trace: bool, renew: bool) -> None:
+        """Dispatch a req to a be, naming the source of a miss, the rank kept and the oldest copy that will do."""
+
+    def cancel(self, req: Req, seq: int) -> None:
+        """Stop waiting on a dispatch, counted from 0 within its req."""
+
+    def deny(self, req: Req, after: int) -> None:
+        """Final answer: unserved, and safe to ask again after the given span (0: none named)."""
+
+    def abort(self, req: Req) -> None:
+        """Final answer: failed, with nothing promised."""
+
+    def wake(self, at: int, token: str) -> None:
+        """Ask for one `woke` event at or after a time."""
+
+    def check(self, be: Be) -> None:
+        """Send a health check."""
+
+    def disconnect(self, be: Be) -> None:
+        """Give back idle connections."""
+
+    def tell(self, peer: int, text: str) -> None:
+        """Send a short message to a peer, or to all (-1)."""
+
+    def subscribe(self, on: bool) -> None:
+        """Ask discovery for changes, or stop asking."""
+
+    def snapshot(self) -> None:
+        """Ask discovery for the whole list once."""
+
+    def log(self, text: str) -> None:
+        """Add a line to the report."""
--- /dev/null
+++ b/lilacloft/state.py
@@ -0,0 +1,69 @@
+"""Plain records that the decision module and its callers share. They hold facts and decide nothing.
+
+All times and spans are whole tenths of a millisecond.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(eq=False, slots=True)
+class Be:
+    """A backend: a cache, a parent or the origin, as the list names it and as this gateway has seen it."""
+
+    name: str
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    status: int = 0
+    size: float = 1.0
+    started: int = 0
+    load: float = 0.0  # bytes (or reqs) of this gateway's dispatches in flight
+    heard: int = 0  # when it last answered
+    strikes: int = 0  # symptoms since then
+    struck_by: Be | None = None  # the cache through which a source last showed one
+    suspect: bool = False
+    retry_at: int = 0
+    backoff: int = 0
+    trial: Req | None = None
+    budget: list[tuple[int, float]] = field(default_factory=list)  # work sent lately: (time, work)
+    reqs: dict[Req, None] = field(default_factory=dict)  # dispatches out there
+
+
+@dataclass(eq=False, slots=True)
+class Obj:
+    """One part of an object as this gateway's table knows it."""
+
+    marked: int | None = None  # when a req last carried the renewal
+    seen: int = 0
+    last: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class Req:
+    """A client's req and what has become of it."""
+
+    key: str
+    part: int
+    group: int
+    kbytes: float
+    arrived: int
+    until: int  # when the client gives this try up
+    vhost: int
+    tenant: int = 0
+    write: bool = False
+    repeat: bool = False
+    closed: bool = False  # it has had its final answer, or is owed none
+    flowing: bool = False  # its stream has begun
+    out: bool = False  # a dispatch is out
+    tries: int = 0
+    be: Be | None = None
+    source: Be | None = None
+    sent: int = 0
+    units: float = 0.0
+    first_ran: int | None = None  # when the first dispatch that may have run was sent
+    ran_at: Be | None = None
+    avoid: list[Be] = field(default_factory=list)  # who has failed it
+    rejoin: bool = True
+    obj: Obj | None = None  # none where it cannot be kept
