Refuse what a crowded cache or link would answer late: learned limits a way

Change: an additive-increase limit on dispatches out per cache, and one for likely fills over the link, cut when answers past the first-byte target exceed 0.4; suspicion now waits for the target; three dispatches a req.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -19,11 +19,14 @@
 
 FLOOR = 6  # ordinary objects that one gateway may always have in flight at their home: the bound never bites below
 SPREAD = 2.0  # and above that, this multiple of the pool's mean in flight per weight (bounded loads; 2 halves no home)
+TRIES = 3  # dispatches a req gets; more would feed a crowd more than they serve
 TABLE = 1 << 15  # objects remembered; an object pushed out of the table merely counts as new
 RENEW_FROM = 0.8  # the wire renews a copy in the last fifth of its fresh time, so a mark is due again from there
 MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and other gateways may get more clients
 LEARN = 1 / 16  # weight of one observation in a moving mean: some twenty make it new
-DEVIATIONS = 4.0  # an answer later than the mean by so many mean deviations is a symptom
+CUT = 0.7  # what a limit is cut to when too many answers come late; gentler than a half as late answers lag behind
+TOLERATED = 0.4  # part of late answers that a limit bears: one slow source makes no more than the misses late
+GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target leaves room for half the pace
 STRIKES = 2  # symptoms in a row, with no answer between them, that make a be suspect
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "cancelled")  # outcomes after which a dispatch may have run
@@ -40,13 +43,35 @@
         self.fresh, self.grace, self.uncacheable = (
             (family.get(name) or [0] * (place + 1))[place] for name in ("fresh", "grace", "uncacheable"))
         self.work = self.target / 2  # mean sending time; until one is seen, what a target must leave room for
-        self.over, self.dev = self.target / 4, self.target / 8  # mean time beyond the sending time, and its deviation
 
-    def learn(self, took: int, work: float) -> None:
-        """Take in the time of one answer, or of one that is overdue."""
-        self.work += LEARN * ((work or took) - self.work)
-        self.dev += LEARN * (abs(took - work - self.over) - self.dev)
-        self.over += LEARN * (took - work - self.over)
+    def aim(self, work: float) -> int:
+        """The span within which an answer earns the full value."""
+        return int(self.target + self.stretch * (work or self.work))
+
+
+class Limit:
+    """How many dispatches of this gateway may be out at once on a way, as learned from what comes late.
+
+    Guards against crowding from any cause (jumps in traffic, retries, a slow origin, a full link, lost caches):
+    work that could only be late is refused early and leaves room for the rest. Harms where answers are late for
+    a reason that fewer dispatches do not cure; then it falls to one at a time and grows back with the first good ones.
+    """
+
+    def __init__(self, limit: float) -> None:
+        self.limit, self.count, self.late, self.calm = limit, 0, 0.0, 0
+
+    def open(self) -> bool:
+        """May one more go out?"""
+        return self.count < self.limit
+
+    def heed(self, late: bool, now: int, span: int) -> None:
+        """Take in whether an answer came late; at most one cut in a span, as those out then tell the same news."""
+        self.late += (late - self.late) / 8
+        if not late:
+            if self.count >= self.limit / 2:
+                self.limit += 1 / self.limit
+        elif self.late > TOLERATED and now >= self.calm:
+            self.limit, self.calm = max(1.0, CUT * min(self.limit, self.count + 1)), now + span
 
 
 class Router:
@@ -72,6 +97,8 @@
         self.caches: list[Be] = []
         self.parents: list[Be] = []
         self.origins: list[Be] = []
+        self.ways: dict[Be, Limit] = {}
+        self.link = Limit(GENEROUS * (self.feed[self.zone] / self.pace or FLOOR) / self.zone_gateways)  # for fills
         self.objs: dict[tuple[str, int], Obj] = {}
         self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
@@ -99,6 +126,8 @@
             if started > be.started:
                 be.started, be.suspect, be.strikes, be.backoff = started, False, 0, 0
             self.known[be.name] = be
+            if be not in self.ways:
+                self.ways[be] = Limit(GENEROUS * (be.size if self.sizes_told else FLOOR) / self.zone_gateways)
         ready = sorted((be for be in self.known.values() if be.status == 1), key=lambda be: be.name)
         self.parents = [be for be in ready if be.kind == self.parent_kind]
         self.origins = [be for be in ready if be.kind == self.origin_kind]
@@ -189,7 +218,7 @@
     def _walk(self, req: Req) -> None:
         """Send a req to the first in hash order that may take it; end it at once where none may."""
         vhost, now = self.vhosts[req.vhost], self.host.now()
-        if req.tries >= self.max_dispatches or now >= req.until - self.tick:
+        if req.tries >= min(TRIES, self.max_dispatches) or now >= req.until - self.tick:
             return self._answer(req)
         passed = vhost.uncacheable or req.write
         homes = self._order(self.caches, req.key)
@@ -199,7 +228,7 @@
         tried = [be for be in homes if be not in req.avoid]
         ways = [(be, sources) for be in tried if self._fit(be, self.caches)]
         ways += [(be, sources) for be in tried]
-        if self.direct:
+        if self.direct and (passed or all(be.suspect for be in tried)):
             over = [(be, [be]) for be in sources]
             ways = over + ways if passed else ways + over
         for be, fills in ways:
@@ -245,6 +274,9 @@
             if peer.suspect and (now < peer.retry_at or peer.trial or vhost.effect != "replayable"):
                 return False
         work = req.kbytes / self.pace
+        fill = be is source or req.obj is None or req.obj.home is not be
+        if not self.ways[be].open() or (fill and not self.link.open()):
+            return False
         if not all(self._room(peer, vhost.work) for peer in touched):
             return False
         obj, renew, rank = req.obj, False, 0
@@ -262,7 +294,10 @@
         be.reqs[req] = None
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
-        self._push(now + int(work + vhost.over + DEVIATIONS * vhost.dev) + 1, req, req.tries - 1)
+        req.fill = fill
+        self.ways[be].count += 1
+        self.link.count += fill
+        self._push(now + vhost.aim(work), req, req.tries - 1)
         join = obj is not None and self.joins and req.rejoin
         self.host.fetch(req, be, limit, source, rank, self._age(req), join, False, False, renew)
         return True
@@ -297,6 +332,8 @@
             if peer.trial is req:
                 peer.trial = None
         be.reqs.pop(req, None)
+        self.ways[be].count -= 1
+        self.link.count -= req.fill
         req.out = req.flowing = False
         return source
 
@@ -321,8 +358,15 @@
         now, vhost = self.host.now(), self.vhosts[req.vhost]
         if outcome in ("done", "miss", "full"):
             self._clear(be)
+        work = req.kbytes / self.pace
+        if outcome not in ("cancelled", "unsent", "miss"):
+            late = outcome != "done" or took > vhost.aim(work)
+            filled = note in (2, 3, 6, 7, 10) if note else req.fill
+            (self.link if filled else self.ways[be]).heed(late, now, vhost.target)
         if outcome == "done":
-            vhost.learn(took, req.kbytes / self.pace)
+            vhost.work += LEARN * ((work or took) - vhost.work)
+            if req.obj is not None:
+                req.obj.home = be
             if note in (0, 2, 3):
                 self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -37,7 +37,7 @@
 
     marked: int | None = None  # when a req last carried the renewal
     seen: int = 0
-    last: int = 0
+    home: Be | None = None  # the cache that last answered it
 
 
 @dataclass(eq=False, slots=True)
@@ -62,6 +62,7 @@
     source: Be | None = None
     sent: int = 0
     units: float = 0.0
+    fill: bool = False  # the dispatch out is likely to need a fill
     first_ran: int | None = None  # when the first dispatch that may have run was sent
     ran_at: Be | None = None
     avoid: list[Be] = field(default_factory=list)  # who has failed it
