--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -27,7 +27,7 @@
 CUT = 0.7  # what a limit is cut to when too many answers come late; gentler than a half as late answers lag behind
 TOLERATED = 0.2  # part of late answers that a limit bears: what is left of an ordinary spread of sizes and speeds
 GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target leaves room for half the pace
-STRIKES = 2  # symptoms in a row, with no answer between them, that make a be suspect
+DOUBT = 0.01  # symptoms in a row make a be suspect once their chance, were it as well as its peers, is under this
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "cancelled")  # outcomes after which a dispatch may have run
 
@@ -104,6 +104,7 @@
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
         self.pushed = 0
         self.armed: int | None = None
+        self.late = 0.1  # part of answers late or lost, anywhere
         self.unit = 0.0  # mean bytes of a req, or 1 where sizes are unknown
         if settings["discovery"] == "subscribe":
             host.subscribe(True)
@@ -361,6 +362,7 @@
         work = req.kbytes / self.pace
         if outcome not in ("cancelled", "unsent", "miss"):
             late = outcome != "done" or took > vhost.aim(work)
+            self.late += LEARN * (late - self.late)
             filled = note in (2, 3, 6, 7, 10) if note else req.fill
             (self.link if filled else self.ways[be]).heed(late, now, vhost.target)
         if outcome == "done":
@@ -382,7 +384,7 @@
     def _strike(self, be: Be, now: int) -> None:
         """Count a symptom; enough of them in a row leave a be to trials, more and more sparsely."""
         be.strikes += 1
-        if be.kind == self.origin_kind or be.strikes < STRIKES:
+        if be.kind == self.origin_kind or min(max(self.late, DOUBT**0.5), 0.8) ** be.strikes > DOUBT:
             return
         longest = max(vhost.target for vhost in self.vhosts)
         be.backoff = min(max(longest, 2 * be.backoff), 16 * longest)
