Give each part of an object its own home cache; the parent stays one an object

A copy is a copy of one part, so the part is what is filled, joined and kept; long objects asked for part by part weighed on one cache. Two to four symptoms for suspicion instead of up to nine (moves nothing alone).

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -222,7 +222,7 @@
         if req.tries >= min(TRIES, self.max_dispatches) or now >= req.until - self.tick:
             return self._answer(req)
         passed = vhost.uncacheable or req.write
-        homes = self._order(self.caches, req.key)
+        homes = self._order(self.caches, f"{req.key} {req.part}")
         parents = self._order(self.parents, req.key)
         sources = self.origins if passed else [be for be in parents if self._fit(be, self.parents)] + self.origins
         sources = [be for be in sources if be not in req.avoid] or self.origins
@@ -384,7 +384,7 @@
     def _strike(self, be: Be, now: int) -> None:
         """Count a symptom; enough of them in a row leave a be to trials, more and more sparsely."""
         be.strikes += 1
-        if be.kind == self.origin_kind or min(max(self.late, DOUBT**0.5), 0.8) ** be.strikes > DOUBT:
+        if be.kind == self.origin_kind or min(max(self.late, DOUBT**0.5), DOUBT**0.25) ** be.strikes > DOUBT:
             return
         longest = max(vhost.target for vhost in self.vhosts)
         be.backoff = min(max(longest, 2 * be.backoff), 16 * longest)
