--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -20,6 +20,7 @@
 FLOOR = 6  # ordinary objects that one gateway may always have in flight at their home: the bound never bites below
 SPREAD = 2.0  # and above that, this multiple of the pool's mean in flight per weight (bounded loads; 2 halves no home)
 TRIES = 3  # dispatches a req gets; more would feed a crowd more than they serve
+FAVOUR = 2.0  # a req far above (below) the usual value for its work meets limits so many times as wide (narrow)
 TABLE = 1 << 15  # objects remembered; an object pushed out of the table merely counts as new
 RENEW_FROM = 0.8  # the wire renews a copy in the last fifth of its fresh time, so a mark is due again from there
 MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and other gateways may get more clients
@@ -60,9 +61,9 @@
     def __init__(self, limit: float) -> None:
         self.limit, self.count, self.late, self.calm = limit, 0, 0.0, 0
 
-    def open(self) -> bool:
-        """May one more go out?"""
-        return self.count < self.limit
+    def open(self, favour: float) -> bool:
+        """May one more go out, of a req whose value for its work is so many times the usual?"""
+        return self.count < self.limit * favour
 
     def heed(self, late: bool, now: int, span: int) -> None:
         """Take in whether an answer came late; at most one cut in a span, as those out then tell the same news."""
@@ -98,13 +99,14 @@
         self.parents: list[Be] = []
         self.origins: list[Be] = []
         self.ways: dict[Be, Limit] = {}
-        self.link = Limit(GENEROUS * (self.feed[self.zone] / self.pace or FLOOR) / self.zone_gateways)  # for fills
+        self.link = Limit(max(FLOOR, GENEROUS * self.feed[self.zone] / self.pace / self.zone_gateways))  # for fills
         self.objs: dict[tuple[str, int], Obj] = {}
         self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
         self.pushed = 0
         self.armed: int | None = None
         self.late = 0.1  # part of answers late or lost, anywhere
+        self.value = self.work = 0.0  # mean value and mean sending time of a req
         self.unit = 0.0  # mean bytes of a req, or 1 where sizes are unknown
         if settings["discovery"] == "subscribe":
             host.subscribe(True)
@@ -128,7 +130,7 @@
                 be.started, be.suspect, be.strikes, be.backoff = started, False, 0, 0
             self.known[be.name] = be
             if be not in self.ways:
-                self.ways[be] = Limit(GENEROUS * (be.size if self.sizes_told else FLOOR) / self.zone_gateways)
+                self.ways[be] = Limit(max(FLOOR, GENEROUS * be.size / self.zone_gateways))
         ready = sorted((be for be in self.known.values() if be.status == 1), key=lambda be: be.name)
         self.parents = [be for be in ready if be.kind == self.parent_kind]
         self.origins = [be for be in ready if be.kind == self.origin_kind]
@@ -142,6 +144,8 @@
         vhost = self.vhosts[req.vhost]
         req.units = req.kbytes or 1.0
         self.unit += LEARN * (req.units - self.unit) if self.unit else req.units
+        self.value += LEARN * (vhost.value - self.value)
+        self.work += LEARN * ((req.kbytes / self.pace or vhost.work) - self.work)
         self._push(req.until - self.tick, req, -1)
         if not (vhost.uncacheable or req.write):
             place = (req.key, req.part)
@@ -276,7 +280,8 @@
                 return False
         work = req.kbytes / self.pace
         fill = be is source or req.obj is None or req.obj.home is not be
-        if not self.ways[be].open() or (fill and not self.link.open()):
+        favour = min(max(vhost.value / (work or vhost.work) * self.work / self.value, 1 / FAVOUR), FAVOUR)
+        if not self.ways[be].open(favour) or (fill and not self.link.open(favour)):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
             return False
