--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -20,7 +20,7 @@
 FLOOR = 6  # ordinary objects that one gateway may always have in flight at their home: the bound never bites below
 SPREAD = 2.0  # and above that, this multiple of the pool's mean in flight per weight (bounded loads; 2 halves no home)
 TRIES = 3  # dispatches a req gets; more would feed a crowd more than they serve
-FAVOUR = 2.0  # a req far above (below) the usual value for its work meets limits so many times as wide (narrow)
+FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide (narrow)
 TABLE = 1 << 15  # objects remembered; an object pushed out of the table merely counts as new
 RENEW_FROM = 0.8  # the wire renews a copy in the last fifth of its fresh time, so a mark is due again from there
 MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and other gateways may get more clients
