--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -1,7 +1,7 @@
-"""Every decision of a lilacloft gateway: where a req goes, where its copy comes from, and when it is given up.
+"""Every decision of a lilacloft gateway: where a req goes, what fills its copy, when it is given up.
 
-How to call it: make one Router a gateway from a Host (its interface stands in lilacloft/host.py), the settings by
-name and a seed; then call the method named for each thing that happens. It acts by calling the host at once.
+How to call it: make one Router a gateway from a Host (its interface: lilacloft/host.py), the settings by name
+and a seed; then call the method named for each thing that happens. It acts by calling the host at once.
 All times and spans are whole tenths of a millisecond; records (Req, Be, Obj) stand in lilacloft/state.py.
 """
 
@@ -17,18 +17,19 @@
 from lilacloft.host import Host
 from lilacloft.state import Be, Obj, Req
 
-FLOOR = 6  # ordinary objects that one gateway may always have in flight at their home: the bound never bites below
-SPREAD = 2.0  # and above that, this multiple of the pool's mean in flight per weight (bounded loads; 2 halves no home)
+# Tuned values; all are dimensionless but SWEEP, which is only how often old notes are dropped.
+FLOOR = 6  # ordinary objects that one gateway may always have in flight at their home; the bound bites above
+SPREAD = 2.0  # and there at this multiple of the pool's mean in flight per weight (bounded loads)
 TRIES = 3  # dispatches a req gets; more would feed a crowd more than they serve
-FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide (narrow)
-TABLE = 1 << 15  # objects remembered; an object pushed out of the table merely counts as new
-RENEW_FROM = 0.8  # the wire renews a copy in the last fifth of its fresh time, so a mark is due again from there
-MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and other gateways may get more clients
+TABLE = 1 << 15  # parts remembered; one pushed out of the table merely counts as new
+RENEW_FROM = 0.8  # a copy is renewed in the last fifth of its fresh time: a mark is due again from there
+MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and clients spread unevenly
 LEARN = 1 / 16  # weight of one observation in a moving mean: some twenty make it new
-CUT = 0.7  # what a limit is cut to when too many answers come late; gentler than a half as late answers lag behind
-TOLERATED = 0.2  # part of late answers that a limit bears: what is left of an ordinary spread of sizes and speeds
-GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target leaves room for half the pace
-DOUBT = 0.01  # symptoms in a row make a be suspect once their chance, were it as well as its peers, is under this
+CUT = 0.7  # what a limit is cut to when too many answers come late; half would overshoot, as news lag behind
+TOLERATED = 0.2  # part of late answers that a limit bears: what an ordinary spread of sizes and speeds leaves
+GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target bears half the pace
+FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
+DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "cancelled")  # outcomes after which a dispatch may have run
 
@@ -53,20 +54,21 @@
 class Limit:
     """How many dispatches of this gateway may be out at once on a way, as learned from what comes late.
 
-    Guards against crowding from any cause (jumps in traffic, retries, a slow origin, a full link, lost caches):
-    work that could only be late is refused early and leaves room for the rest. Harms where answers are late for
-    a reason that fewer dispatches do not cure; then it falls to one at a time and grows back with the first good ones.
+    Guards against crowding from any cause (jumps in traffic, retries, a slow origin, a full link, lost
+    caches): work that could only be late is refused early and leaves room for the rest. Harms where answers
+    are late for a reason that fewer dispatches do not cure; it then falls to one at a time, and grows back
+    with the first good answers.
     """
 
     def __init__(self, limit: float) -> None:
         self.limit, self.count, self.late, self.calm = limit, 0, 0.0, 0
 
     def open(self, favour: float) -> bool:
-        """May one more go out, of a req whose value for its work is so many times the usual?"""
+        """May one more go out, whose value for its work is so many times the usual?"""
         return self.count < self.limit * favour
 
     def heed(self, late: bool, now: int, span: int) -> None:
-        """Take in whether an answer came late; at most one cut in a span, as those out then tell the same news."""
+        """Take in whether an answer came late; one cut in a span at most, as those out tell the same news."""
         self.late += (late - self.late) / 8
         if not late:
             if self.count >= self.limit / 2:
@@ -80,7 +82,7 @@
 
     def __init__(self, host: Host, settings: Mapping[str, Any], seed: int) -> None:
         self.host, self.seed, self.draws = host, seed, 0
-        family, self.rules, self.limits = settings["family"], settings["rules"], settings["limits"]
+        family, rules, self.limits = settings["family"], settings["rules"], settings["limits"]
         self.vhosts = [Vhost(config, family, place) for place, config in enumerate(settings["vhosts"])]
         self.zone, self.gateways = settings["zone"], settings["gateways"]
         self.zone_gateways = max(1, family["zone_gateways"][self.zone])
@@ -90,16 +92,17 @@
         self.sizes_told = settings.get("weight_source", "silent") != "silent"
         self.direct, self.joins = family["pass_through_ok"], family["joins"]
         self.purge_done = family["purge_done"] + 1
-        self.cold = {False: (self.rules["start_capacity"], self.rules["cold"] + 1, self.rules["tip_multiple"]),
-                     True: (family["parent_floor"], family["parent_warms_in"] + 1, family["parent_breaks_at"])}
-        self.tick, self.fall = settings["granularity"], self.rules["fall"]
+        self.cold_cache = rules["start_capacity"], rules["cold"] + 1, rules["tip_multiple"]
+        self.cold_parent = family["parent_floor"], family["parent_warms_in"] + 1, family["parent_breaks_at"]
+        self.tick, self.fall = settings["granularity"], rules["fall"]
         self.max_dispatches, self.can_cancel = self.limits["max_dispatches"], self.limits["cancel"]
         self.known: dict[str, Be] = {}
         self.caches: list[Be] = []
         self.parents: list[Be] = []
         self.origins: list[Be] = []
         self.ways: dict[Be, Limit] = {}
-        self.link = Limit(max(FLOOR, GENEROUS * self.feed[self.zone] / self.pace / self.zone_gateways))  # for fills
+        # the location's link in, for reqs that are likely to need a fill
+        self.link = Limit(max(FLOOR, GENEROUS * self.feed[self.zone] / self.pace / self.zone_gateways))
         self.objs: dict[tuple[str, int], Obj] = {}
         self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
@@ -228,7 +231,8 @@
         passed = vhost.uncacheable or req.write
         homes = self._order(self.caches, f"{req.key} {req.part}")
         parents = self._order(self.parents, req.key)
-        sources = self.origins if passed else [be for be in parents if self._fit(be, self.parents)] + self.origins
+        fitting = [be for be in parents if self._fit(be, self.parents)]
+        sources = self.origins if passed else fitting + self.origins
         sources = [be for be in sources if be not in req.avoid] or self.origins
         tried = [be for be in homes if be not in req.avoid]
         ways = [(be, sources) for be in tried if self._fit(be, self.caches)]
@@ -256,7 +260,7 @@
         return be.load <= max(FLOOR * self.unit, SPREAD * mean * be.size)
 
     def _age(self, req: Req) -> int:
-        """The oldest copy that will do, 0 for any: fresh or in the grace, and never older than a known purge."""
+        """The oldest copy that will do (0: any): fresh or in the grace, never older than a known purge."""
         vhost, now = self.vhosts[req.vhost], self.host.now()
         age = vhost.fresh + vhost.grace if vhost.fresh else 0
         purges = [at for at in (self.purges.get(req.key), self.purges.get(req.group)) if at is not None]
@@ -272,7 +276,8 @@
             return False
         if req.first_ran is not None and vhost.effect != "replayable":
             held = {"all": True, "zone": be.zone == req.ran_at.zone, "cell": be.cell == req.ran_at.cell}
-            if vhost.effect != "uniqued" or not held[vhost.group] or now >= req.first_ran + vhost.window - self.tick:
+            until = req.first_ran + vhost.window - self.tick
+            if vhost.effect != "uniqued" or not held[vhost.group] or now >= until:
                 return False
         touched = (be,) if be is source else (be, source)
         for peer in touched:
@@ -315,7 +320,7 @@
         if be.kind == self.origin_kind:
             return True
         parent = be.kind == self.parent_kind
-        floor, warm, multiple = self.cold[parent]
+        floor, warm, multiple = self.cold_parent if parent else self.cold_cache
         age = self.host.now() - be.started
         if not be.started or age >= warm:
             return True
--- a/lilacloft/drill/wire.py
+++ b/lilacloft/drill/wire.py
@@ -12,22 +12,48 @@
 
 NS = 100_000  # nanoseconds in a tenth of a millisecond
 
-# The wire's words for settings, and ours. A name not listed keeps its own; an ending in Ns is dropped with the unit.
+# The wire's words for settings, and ours. Other names stay; an ending in Ns is dropped with the unit.
 WORDS = {
-    "classes": "vhosts", "promise": "first_byte_target", "deadline": "client_timeout", "gain": "value",
-    "repeat": "effect", "dedupScope": "repeat_group", "lateWorth": "late_value", "oldCopyWorth": "old_copy_value",
-    "maxAttempts": "max_dispatches", "answerSlack": "answer_slack", "familyInfo": "family", "obligations": "rules",
-    "projects": "tenants", "worthBy": "value_by", "freshFor": "fresh", "staleFor": "grace", "passOn": "uncacheable",
-    "balancers": "gateways", "zoneBalancers": "zone_gateways", "worstClass": "worst_vhost",
-    "overShareWorth": "over_share_value", "mayDuplicate": "may_send_two", "cpuUsPerRequest": "cpu_us_per_req",
+    "classes": "vhosts",
+    "promise": "first_byte_target",
+    "deadline": "client_timeout",
+    "gain": "value",
+    "repeat": "effect",
+    "dedupScope": "repeat_group",
+    "lateWorth": "late_value",
+    "oldCopyWorth": "old_copy_value",
+    "maxAttempts": "max_dispatches",
+    "answerSlack": "answer_slack",
+    "familyInfo": "family",
+    "obligations": "rules",
+    "projects": "tenants",
+    "worthBy": "value_by",
+    "freshFor": "fresh",
+    "staleFor": "grace",
+    "passOn": "uncacheable",
+    "balancers": "gateways",
+    "zoneBalancers": "zone_gateways",
+    "worstClass": "worst_vhost",
+    "overShareWorth": "over_share_value",
+    "mayDuplicate": "may_send_two",
+    "cpuUsPerRequest": "cpu_us_per_req",
 }
 EFFECTS = {"repeatable": "replayable", "by_key": "uniqued", "once": "non-replayable"}
-OUTCOMES = {"Ok": "done", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout", "ConnectError": "unreached",
-            "ResetByPeer": "reset", "Canceled": "cancelled", "Ignored": "unsent", "Miss": "miss"}
+OUTCOMES = {
+    "Ok": "done",
+    "Failed": "error",
+    "QueueFull": "full",
+    "TimedOut": "timeout",
+    "ConnectError": "unreached",
+    "ResetByPeer": "reset",
+    "Canceled": "cancelled",
+    "Ignored": "unsent",
+    "Miss": "miss",
+}
 MODES = {0: "cached", 1: "failed", 2: "full", 3: "delta"}
 
 
-class Malformed(Exception):
+class MalformedError(Exception):
     """What came in is not of this wire; the text names what is wrong."""
 
 
@@ -52,15 +78,17 @@
     return EFFECTS.get(value, value) if isinstance(value, str) else value
 
 
-def field(values: list[Any], place: int, kind: type | tuple[type, ...], name: str, default: Any = None) -> Any:
+def field(
+    values: list[Any], place: int, kind: type | tuple[type, ...], name: str, default: Any = None
+) -> Any:
     """Take one value of a message; one that is absent or null gets the default, if there is one."""
     value = values[place] if place < len(values) else None
     if value is None:
         if default is None:
-            raise Malformed(f"{name} is missing")
+            raise MalformedError(f"{name} is missing")
         return default
     if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise Malformed(f"{name} is no {kind if isinstance(kind, tuple) else kind.__name__}: {value!r}")
+        raise MalformedError(f"{name} is no {kind if isinstance(kind, tuple) else kind.__name__}: {value!r}")
     return value
 
 
@@ -87,11 +115,23 @@
     def look(self, req: Req, be: Be, limit: int) -> None:
         self.actions.append(["transmit", self.ids[req], be.name, limit * NS])
 
-    def fetch(self, req: Req, be: Be, limit: int, source: Be, rank: int, age: int,
-              join: bool, held_only: bool, no_trace: bool, renew: bool) -> None:
+    def fetch(
+        self,
+        req: Req,
+        be: Be,
+        limit: int,
+        source: Be,
+        rank: int,
+        age: int,
+        join: bool,
+        held_only: bool,
+        no_trace: bool,
+        renew: bool,
+    ) -> None:
         bits = 1 * join + 2 * held_only + 4 * no_trace + 8 * renew
         self.actions.append(
-            ["fetchThrough", self.ids[req], be.name, limit * NS, source.name, rank, age * NS, bits])
+            ["fetchThrough", self.ids[req], be.name, limit * NS, source.name, rank, age * NS, bits]
+        )
 
     def cancel(self, req: Req, seq: int) -> None:
         self.actions.append(["undoSend", self.ids[req], seq])
@@ -139,35 +179,50 @@
         try:
             self.router = Router(self, settings(env), seed)
         except KeyError as wrong:
-            raise Malformed(f"setting {wrong.args[0]} is missing") from wrong
+            raise MalformedError(f"setting {wrong.args[0]} is missing") from wrong
 
     def fleet(self, values: list[Any]) -> None:
         mode = field(values, 1, int, "mode")
         if mode not in MODES:
-            raise Malformed(f"mode of the list is unknown: {mode}")
+            raise MalformedError(f"mode of the list is unknown: {mode}")
         field(values, 0, int, "revision", 0)
         listed = []
         for row in field(values, 2, list, "nodesList", []):
             if not isinstance(row, list):
-                raise Malformed(f"an entry of the list is no array: {row!r}")
+                raise MalformedError(f"an entry of the list is no array: {row!r}")
             name = field(row, 0, str, "cache")
             status = field(row, 4, int, "status")
             if status not in (0, 1, 2):
-                raise Malformed(f"status in the list is unknown: {status}")
-            listed.append((self.bes.setdefault(name, Be(name)), field(row, 1, int, "zone", 0),
-                           field(row, 2, int, "kind", 0), field(row, 3, int, "cohort", 0), status,
-                           field(row, 5, NUMBER, "size", 1.0), field(row, 6, int, "startedAtNs", 0) // NS))
+                raise MalformedError(f"status in the list is unknown: {status}")
+            listed.append(
+                (
+                    self.bes.setdefault(name, Be(name)),
+                    field(row, 1, int, "zone", 0),
+                    field(row, 2, int, "kind", 0),
+                    field(row, 3, int, "cohort", 0),
+                    status,
+                    field(row, 5, NUMBER, "size", 1.0),
+                    field(row, 6, int, "startedAtNs", 0) // NS,
+                )
+            )
         self.router.listed(MODES[mode], listed)
 
     def ingress(self, values: list[Any]) -> None:
         name = field(values, 0, str, "id")
         bits = field(values, 5, int, "bits", 0)
         now = self.now()
-        req = Req(key=field(values, 8, str, "contentId", ""), part=field(values, 1, int, "part", 0),
-                  group=field(values, 2, int, "group", 0), kbytes=field(values, 3, NUMBER, "kbytes", 0),
-                  arrived=now, until=now + field(values, 4, int, "patienceLeftNs") // NS,
-                  vhost=field(values, 6, int, "qos", 0), tenant=field(values, 7, int, "party", 0),
-                  write=bool(bits & 4), repeat=bool(bits & 2))
+        req = Req(
+            key=field(values, 8, str, "contentId", ""),
+            part=field(values, 1, int, "part", 0),
+            group=field(values, 2, int, "group", 0),
+            kbytes=field(values, 3, NUMBER, "kbytes", 0),
+            arrived=now,
+            until=now + field(values, 4, int, "patienceLeftNs") // NS,
+            vhost=field(values, 6, int, "qos", 0),
+            tenant=field(values, 7, int, "party", 0),
+            write=bool(bits & 4),
+            repeat=bool(bits & 2),
+        )
         self.reqs[name] = req
         self.ids[req] = name
         self.router.arrived(req)
@@ -183,12 +238,20 @@
         be = self._be(values, 2)
         code = field(values, 3, str, "stateCode")
         if code not in OUTCOMES:
-            raise Malformed(f"stateCode is unknown: {code}")
+            raise MalformedError(f"stateCode is unknown: {code}")
         final = field(values, 5, bool, "finished", False)
         if req and be:
-            self.router.ended(req, be, seq, OUTCOMES[code], field(values, 4, int, "tookNs", 0) // NS, final,
-                              field(values, 6, int, "remark", 0), field(values, 7, int, "sourceWaitNs", 0) // NS,
-                              field(values, 8, list, "feedback", []))
+            self.router.ended(
+                req,
+                be,
+                seq,
+                OUTCOMES[code],
+                field(values, 4, int, "tookNs", 0) // NS,
+                final,
+                field(values, 6, int, "remark", 0),
+                field(values, 7, int, "sourceWaitNs", 0) // NS,
+                field(values, 8, list, "feedback", []),
+            )
             self._forget(req)
 
     def cancelled_by_client(self, values: list[Any]) -> None:
@@ -204,10 +267,14 @@
         be = self._be(values, 0)
         code = field(values, 2, str, "stateCode")
         if code not in OUTCOMES:
-            raise Malformed(f"stateCode is unknown: {code}")
+            raise MalformedError(f"stateCode is unknown: {code}")
         if be:
-            self.router.checked(be, field(values, 1, int, "tookNs", 0) // NS, OUTCOMES[code],
-                                field(values, 3, list, "feedback", []))
+            self.router.checked(
+                be,
+                field(values, 1, int, "tookNs", 0) // NS,
+                OUTCOMES[code],
+                field(values, 3, list, "feedback", []),
+            )
 
     def heard(self, values: list[Any]) -> None:
         self.router.heard(field(values, 0, int, "by"), field(values, 1, str, "msg", ""))
@@ -215,14 +282,22 @@
     def withdrawn_copy(self, values: list[Any]) -> None:
         key = values[0] if values and values[0] not in (0, None) else ""
         if not isinstance(key, str):
-            raise Malformed(f"contentId is no str: {key!r}")
-        self.router.purged(key, field(values, 1, int, "batchId", 0), field(values, 2, int, "copyAgeNs", 0) // NS)
+            raise MalformedError(f"contentId is no str: {key!r}")
+        self.router.purged(
+            key, field(values, 1, int, "batchId", 0), field(values, 2, int, "copyAgeNs", 0) // NS
+        )
 
 
 HANDLERS: dict[str, Callable[[Gateway, list[Any]], None]] = {
-    "up": Gateway.up, "fleet": Gateway.fleet, "ingress": Gateway.ingress, "established": Gateway.established,
-    "resolved": Gateway.resolved, "cancelledByClient": Gateway.cancelled_by_client,
-    "timeoutFired": Gateway.timeout_fired, "statusBack": Gateway.status_back, "heard": Gateway.heard,
+    "up": Gateway.up,
+    "fleet": Gateway.fleet,
+    "ingress": Gateway.ingress,
+    "established": Gateway.established,
+    "resolved": Gateway.resolved,
+    "cancelledByClient": Gateway.cancelled_by_client,
+    "timeoutFired": Gateway.timeout_fired,
+    "statusBack": Gateway.status_back,
+    "heard": Gateway.heard,
     "withdrawnCopy": Gateway.withdrawn_copy,
 }
 
@@ -236,22 +311,22 @@
     def _event(self, who: str, event: Any, t_ns: int) -> list[list[Any]]:
         """Pass one event on and return the actions it led to."""
         if not isinstance(event, list) or not event or not isinstance(event[0], str):
-            raise Malformed(f"an event is no array with a name: {event!r}")
+            raise MalformedError(f"an event is no array with a name: {event!r}")
         name, values = event[0], event[1:]
         if name == "up":
             self.gateways[who] = Gateway()
         gateway = self.gateways.get(who)
         if gateway is None:
-            raise Malformed(f"{who} is no instance that is up")
+            raise MalformedError(f"{who} is no instance that is up")
         if name == "down":
             del self.gateways[who]
             return []
         if name not in HANDLERS:
-            raise Malformed(f"message {name!r} is unknown")
+            raise MalformedError(f"message {name!r} is unknown")
         gateway.t_ns = t_ns
         try:
             HANDLERS[name](gateway, values)
-        except Malformed:
+        except MalformedError:
             raise
         except Exception as wrong:  # noqa: BLE001  whatever the module raises is its crash, told with its text
             gateway.actions.append(["die", f"{type(wrong).__name__}: {wrong}"])
@@ -266,22 +341,22 @@
         try:
             batch = json.loads(line)
         except ValueError as wrong:
-            raise Malformed(f"a line is no JSON: {wrong}") from wrong
+            raise MalformedError(f"a line is no JSON: {wrong}") from wrong
         if not isinstance(batch, dict):
-            raise Malformed("a line is no object")
+            raise MalformedError("a line is no object")
         t_ns = batch.get("tNs")
         parts = batch.get("parts")
         if not isinstance(t_ns, int) or isinstance(t_ns, bool):
-            raise Malformed(f"tNs is no whole number: {t_ns!r}")
+            raise MalformedError(f"tNs is no whole number: {t_ns!r}")
         if not isinstance(parts, list):
-            raise Malformed(f"parts is no array: {parts!r}")
+            raise MalformedError(f"parts is no array: {parts!r}")
         return {"parts": [reply for part in parts for reply in self._part(part, t_ns)]}
 
     def _part(self, part: Any, t_ns: int) -> Iterator[dict[str, Any]]:
         if not isinstance(part, dict) or not isinstance(part.get("who"), str):
-            raise Malformed(f"a part names no instance: {part!r}")
+            raise MalformedError(f"a part names no instance: {part!r}")
         if not isinstance(part.get("happened"), list):
-            raise Malformed(f"happened is no array: {part.get('happened')!r}")
+            raise MalformedError(f"happened is no array: {part.get('happened')!r}")
         who, actions = part["who"], []
         for event in part["happened"]:
             if isinstance(event, list) and event and event[0] == "down":
@@ -297,7 +372,7 @@
     for number, line in enumerate(lines, 1):
         try:
             reply = drill.batch(line)
-        except Malformed as wrong:
+        except MalformedError as wrong:
             errors.write(f"lilacloft.drill: line {number}: {wrong}\n"[:400])
             return 2
         replies.write(json.dumps(reply, separators=(",", ":")).encode() + b"\n")
--- a/lilacloft/host.py
+++ b/lilacloft/host.py
@@ -18,7 +18,7 @@
 
     def fetch(self, req: Req, be: Be, limit: int, source: Be, rank: int, age: int,
               join: bool, held_only: bool, no_trace: bool, renew: bool) -> None:
-        """Dispatch a req to a be, naming the source of a miss, the rank kept and the oldest copy that will do."""
+        """Dispatch a req to a be: who fills a miss, the rank it is kept at, the oldest copy that will do."""
 
     def cancel(self, req: Req, seq: int) -> None:
         """Stop waiting on a dispatch, counted from 0 within its req."""
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,112 @@
+"""The module beside the plain model of the rules, on generated events."""
+
+import inspect
+import random
+import sys
+import types
+
+import pytest
+import rig
+from rig import SEC, Model, settings, vhost
+
+from lilacloft import decide
+
+OUTCOMES = ["done"] * 12 + ["error", "full", "timeout", "unreached", "reset", "miss", "hang", "hang"]
+KINDS = [vhost(), vhost("uniqued"), vhost("uniqued", repeat_group="cell"), vhost("non-replayable")]
+
+
+def play(seed, steps=200):
+    chance = random.Random(seed)
+    model = Model(
+        settings(
+            KINDS,
+            fresh=(0, 10 * SEC, 0, 0),
+            grace=(0, 5 * SEC, 0, 0),
+            family={"pass_through_ok": seed % 2 == 0},
+            uncacheable=(False, False, True, True),
+        )
+    )
+    open_reqs = []
+    for _ in range(steps):
+        model.run(chance.choice([5, 50, 300, 2000]))
+        open_reqs = [req for req in open_reqs if not req.closed or model.out(req)]
+        doing = chance.random()
+        if doing < 0.6:
+            for _ in range(chance.choice([1, 1, 1, 30])):
+                open_reqs.append(
+                    model.ask(
+                        f"k{chance.randrange(20)}",
+                        chance.randrange(3),
+                        400.0,
+                        chance.randrange(4),
+                        chance.choice([300, SEC, 4 * SEC]),
+                        1,
+                    )
+                )
+        elif doing < 0.9 and open_reqs:
+            req, outcome = chance.choice(open_reqs), chance.choice(OUTCOMES)
+            if model.out(req) and outcome != "hang":
+                if req.closed:
+                    model.end(req, "cancelled", final=False)
+                elif model.time <= req.until:
+                    model.end(req, outcome, took=chance.randrange(5, 6000))
+        elif doing < 0.95:
+            be = chance.choice(model.caches + model.parents)
+            started = chance.choice([0, model.time, model.time - SEC])
+            model.list("delta", [(be, chance.choice([0, 1, 1, 2]), started)])
+        else:
+            key, age = chance.choice(["", f"k{chance.randrange(20)}"]), chance.randrange(3000)
+            model.purges.append((key, 1, model.time - age))
+            model.router.purged(key, 1, age)
+    model.run(10 * SEC)
+    return model
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_module_and_model_agree(seed):
+    model = play(seed)
+    assert model.wrong == []
+    assert len(model.sends) > 50
+    assert {req for req, _ in model.finals} == set(model.history), "each req has its final answer"
+
+
+BREAKS = {  # what the model must say, and the edits that break the rule
+    "two out at once": [
+        ("req.closed or req.out or be.status", "req.closed or be.status"),
+        ("            self._strike(be, now)\n            self._recall(req)", "            self._walk(req)"),
+    ],
+    "sent to a draining be": [
+        ("be.status != 1 or source.status != 1", "False"),
+        ("if be.status == 1)", "if be.status)"),
+    ],
+    "non-replayable sent again": [
+        ("if req.first_ran is not None and vhost.effect", "if False and vhost.effect")
+    ],
+    "uniqued left its group": [("not held[vhost.group] or now", "now")],
+    "uniqued sent again too late": [(" or now >= until", "")],
+    "denied though it may have run": [("if not ran or vhost.effect", "if True or vhost.effect")],
+    "cold cache pushed over": [
+        ("if not all(self._room(", "if False and not all(self._room("),
+        ("return self.count < self.limit * favour", "return True"),
+    ],
+    "older than a purge": [("age = min(age, since) if age else since", "pass")],
+    "two final answers": [
+        ("        if req.closed:\n            return\n        vhost", "        vhost"),
+        ("if req.closed or req.flowing:", "if req.flowing:"),
+    ],
+    "answered too late": [("self._push(req.until - self.tick, req, -1)", "pass")],
+}
+
+
+@pytest.mark.parametrize("told", BREAKS)
+def test_model_sees_a_rule_broken_by_hand(told, monkeypatch):
+    """Each rule taken out of the module's text in turn must be missed by the model."""
+    text = inspect.getsource(decide)
+    for kept, broken in BREAKS[told]:
+        assert text.count(kept) == 1
+        text = text.replace(kept, broken)
+    module = types.ModuleType("broken")
+    monkeypatch.setitem(sys.modules, "broken", module)
+    exec(compile(text, "broken", "exec"), module.__dict__)
+    monkeypatch.setattr(rig, "Router", module.Router)
+    assert any(told in play(seed).wrong for seed in range(25))
