Guess an untold size from the shortest answer an object ever gave

Cause: where sizes are untold all reqs of a vhost met one limit and one target, large and small alike. Covers any site with untold sizes; errs high for objects only ever answered through a crowd, until one answer is quick.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -48,7 +48,7 @@
 
     def aim(self, work: float) -> int:
         """The span within which an answer earns the full value."""
-        return int(self.target + self.stretch * (work or self.work))
+        return int(self.target + self.stretch * work)
 
 
 class Limit:
@@ -148,7 +148,6 @@
         req.units = req.kbytes or 1.0
         self.unit += LEARN * (req.units - self.unit) if self.unit else req.units
         self.value += LEARN * (vhost.value - self.value)
-        self.work += LEARN * ((req.kbytes / self.pace or vhost.work) - self.work)
         self._push(req.until - self.tick, req, -1)
         if not (vhost.uncacheable or req.write):
             place = (req.key, req.part)
@@ -157,6 +156,8 @@
             if len(self.objs) > TABLE:
                 del self.objs[next(iter(self.objs))]
             req.obj.seen += 1
+        req.work = req.kbytes / self.pace or (req.obj.work if req.obj else 0.0) or vhost.work
+        self.work += LEARN * (req.work - self.work)
         self._walk(req)
 
     def flowing(self, req: Req, seq: int) -> None:
@@ -283,9 +284,8 @@
         for peer in touched:
             if peer.suspect and (now < peer.retry_at or peer.trial or vhost.effect != "replayable"):
                 return False
-        work = req.kbytes / self.pace
         fill = be is source or req.obj is None or req.obj.home is not be
-        favour = min(max(vhost.value / (work or vhost.work) * self.work / self.value, 1 / FAVOUR), FAVOUR)
+        favour = min(max(vhost.value / req.work * self.work / self.value, 1 / FAVOUR), FAVOUR)
         if not self.ways[be].open(favour) or (fill and not self.link.open(favour)):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
@@ -308,7 +308,7 @@
         req.fill = fill
         self.ways[be].count += 1
         self.link.count += fill
-        self._push(now + vhost.aim(work), req, req.tries - 1)
+        self._push(now + vhost.aim(req.work), req, req.tries - 1)
         join = obj is not None and self.joins and req.rejoin
         self.host.fetch(req, be, limit, source, rank, self._age(req), join, False, False, renew)
         return True
@@ -369,16 +369,15 @@
         now, vhost = self.host.now(), self.vhosts[req.vhost]
         if outcome in ("done", "miss", "full"):
             self._clear(be)
-        work = req.kbytes / self.pace
         if outcome not in ("cancelled", "unsent", "miss"):
-            late = outcome != "done" or took > vhost.aim(work)
+            late = outcome != "done" or took > vhost.aim(req.work)
             self.late += LEARN * (late - self.late)
             filled = note in (2, 3, 6, 7, 10) if note else req.fill
             (self.link if filled else self.ways[be]).heed(late, now, vhost.target)
         if outcome == "done":
-            vhost.work += LEARN * ((work or took) - vhost.work)
+            vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
             if req.obj is not None:
-                req.obj.home = be
+                req.obj.home, req.obj.work = be, min(took, req.obj.work or took)
             if note in (0, 2, 3):
                 self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -38,6 +38,7 @@
     marked: int | None = None  # when a req last carried the renewal
     seen: int = 0
     home: Be | None = None  # the cache that last answered it
+    work: float = 0.0  # the shortest time in which it was answered: no more than this is sending
 
 
 @dataclass(eq=False, slots=True)
@@ -62,6 +63,7 @@
     source: Be | None = None
     sent: int = 0
     units: float = 0.0
+    work: float = 0.0  # its sending time, told or guessed
     fill: bool = False  # the dispatch out is likely to need a fill
     first_ran: int | None = None  # when the first dispatch that may have run was sent
     ran_at: Be | None = None
