--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -370,7 +370,8 @@
         if outcome in ("done", "miss", "full"):
             self._clear(be)
         if outcome not in ("cancelled", "unsent", "miss"):
-            late = outcome != "done" or took > vhost.aim(req.work)
+            known = req.kbytes or req.obj is None or req.obj.work  # else a long answer may be but a large one
+            late = outcome != "done" or (known and took > vhost.aim(req.work))
             self.late += LEARN * (late - self.late)
             filled = note in (2, 3, 6, 7, 10) if note else req.fill
             (self.link if filled else self.ways[be]).heed(late, now, vhost.target)
