Foresee fills by purge, age and restart; blame what all parents show on the origin

Cause: after purges and restarts a late fill was taken for a late hit and cut the cache's limit; a slow origin made both parents suspect in turn. Harms if all parents fail at once for reasons of their own: then none is left alone, and the origin is tried after them.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -270,6 +270,15 @@
             age = min(age, since) if age else since
         return age
 
+    def _held(self, req: Req, be: Be) -> bool:
+        """Is a copy that will do likely to lie there? As far as this gateway's own reqs tell."""
+        obj, vhost, now = req.obj, self.vhosts[req.vhost], self.host.now()
+        if obj is None or obj.home is not be or be.started > obj.filled:
+            return False
+        if vhost.fresh and now - obj.filled > vhost.fresh + vhost.grace:
+            return False
+        return max(self.purges.get(req.key, 0), self.purges.get(req.group, 0)) < obj.filled
+
     def _send(self, req: Req, be: Be, source: Be) -> bool:
         """The gate that every dispatch passes: the rules on effects, drains, cold starts and purges."""
         vhost, now = self.vhosts[req.vhost], self.host.now()
@@ -284,7 +293,7 @@
         for peer in touched:
             if peer.suspect and (now < peer.retry_at or peer.trial or vhost.effect != "replayable"):
                 return False
-        fill = be is source or req.obj is None or req.obj.home is not be
+        fill = be is source or not self._held(req, be)
         favour = min(max(vhost.value / req.work * self.work / self.value, 1 / FAVOUR), FAVOUR)
         if not self.ways[be].open(favour) or (fill and not self.link.open(favour)):
             return False
@@ -305,7 +314,7 @@
         be.reqs[req] = None
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
-        req.fill = fill
+        req.fill, req.renew = fill, renew
         self.ways[be].count += 1
         self.link.count += fill
         self._push(now + vhost.aim(req.work), req, req.tries - 1)
@@ -369,17 +378,19 @@
         now, vhost = self.host.now(), self.vhosts[req.vhost]
         if outcome in ("done", "miss", "full"):
             self._clear(be)
+        filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
             known = req.kbytes or req.obj is None or req.obj.work  # else a long answer may be but a large one
             late = outcome != "done" or (known and took > vhost.aim(req.work))
             self.late += LEARN * (late - self.late)
-            filled = note in (2, 3, 6, 7, 10) if note else req.fill
             (self.link if filled else self.ways[be]).heed(late, now, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
             if req.obj is not None:
-                req.obj.home, req.obj.work = be, min(took, req.obj.work or took)
-            if note in (0, 2, 3):
+                if req.fill or req.renew or req.obj.home is not be:
+                    req.obj.home, req.obj.filled = be, req.sent
+                req.obj.work = min(took, req.obj.work or took)
+            if filled:
                 self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
             self._strike(be, now)
@@ -394,6 +405,8 @@
     def _strike(self, be: Be, now: int) -> None:
         """Count a symptom; enough of them in a row leave a be to trials, more and more sparsely."""
         be.strikes += 1
+        if be.kind == self.parent_kind and all(peer.strikes for peer in self.parents):
+            return  # what all parents show is the origin's
         if be.kind == self.origin_kind or min(max(self.late, DOUBT**0.5), DOUBT**0.25) ** be.strikes > DOUBT:
             return
         longest = max(vhost.target for vhost in self.vhosts)
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -38,6 +38,7 @@
     marked: int | None = None  # when a req last carried the renewal
     seen: int = 0
     home: Be | None = None  # the cache that last answered it
+    filled: int = 0  # when it was last asked for there with a fill likely, or renewed
     work: float = 0.0  # the shortest time in which it was answered: no more than this is sending
 
 
@@ -68,5 +69,6 @@
     first_ran: int | None = None  # when the first dispatch that may have run was sent
     ran_at: Be | None = None
     avoid: list[Be] = field(default_factory=list)  # who has failed it
+    renew: bool = False
     rejoin: bool = True
     obj: Obj | None = None  # none where it cannot be kept
