--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -24,6 +24,7 @@
 TABLE = 1 << 15  # parts remembered; one pushed out of the table merely counts as new
 RENEW_FROM = 0.8  # a copy is renewed in the last fifth of its fresh time: a mark is due again from there
 MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and clients spread unevenly
+BRISK = 0.8  # nor is it sent more than this part of what it can do now: beyond, all it answers is late
 LEARN = 1 / 16  # weight of one observation in a moving mean: some twenty make it new
 CUT = 0.7  # what a limit is cut to when too many answers come late; half would overshoot, as news lag behind
 TOLERATED = 0.2  # part of late answers that a limit bears: what an ordinary spread of sizes and speeds leaves
@@ -341,7 +342,7 @@
             capacity = self.feed[self.zone] / self.pace / max(1, len(self.caches))
         share = floor + (1 - floor) * max(0, age - self.fall) / warm
         gateways = self.gateways if parent else self.zone_gateways
-        allowed = MARGIN * multiple * share * (capacity or 1.0) * self.fall / gateways
+        allowed = min(MARGIN * multiple, BRISK) * share * (capacity or 1.0) * self.fall / gateways
         return sum(sent for _, sent in be.budget) + work <= allowed
 
     def _release(self, req: Req, be: Be) -> Be:
@@ -429,6 +430,10 @@
             self._strike(source, now)
             if source.suspect:
                 self._recall(req)
+        if req.out and now < req.sent + 2 * self.vhosts[req.vhost].aim(req.work):
+            self._push(req.sent + 2 * self.vhosts[req.vhost].aim(req.work), req, req.tries - 1)
+        else:  # its answer is lost, or its fill stuck, though the cache answers others
+            self._recall(req)
 
     def _recall(self, req: Req) -> None:
         """Call a dispatch back; its outcome sends the req on. Only where that can do no harm."""
