--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -432,7 +432,7 @@
                 self._recall(req)
         if req.out and now < req.sent + 2 * self.vhosts[req.vhost].aim(req.work):
             self._push(req.sent + 2 * self.vhosts[req.vhost].aim(req.work), req, req.tries - 1)
-        else:  # its answer is lost, or its fill stuck, though the cache answers others
+        elif not req.fill:  # a likely hit whose answer is lost, though the cache answers others
             self._recall(req)
 
     def _recall(self, req: Req) -> None:
