Tell a silent parent by its late fills against the other's, and try it again directly

Kept: strikes of a source were cleared by hits taken for fills. Covers silent, hanging and slow parents; all slow together are the origin's.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -170,15 +170,16 @@
         """A dispatch is over."""
         if not req.out or seq != req.tries - 1:
             return
+        trial = req.source.trial
         source = self._release(req, be)
-        self._blame(req, be, source, outcome, took, note)
+        self._blame(req, be, source, outcome, took, note, trial)
         if final:
             req.closed = True
         if req.closed:
             return
         if outcome in RAN and req.first_ran is None:
             req.first_ran, req.ran_at = req.sent, be
-        if note not in (6, 7, 8, 10):
+        if note not in (6, 7, 8, 10) and (be.suspect or not source.suspect):
             req.avoid.append(be)
         if note != 9 and source is not be:
             req.avoid.append(source)
@@ -237,7 +238,11 @@
         sources = self.origins if passed else fitting + self.origins
         sources = [be for be in sources if be not in req.avoid] or self.origins
         tried = [be for be in homes if be not in req.avoid]
-        ways = [(be, sources) for be in tried if self._fit(be, self.caches)]
+        ways = []
+        if self.direct and not passed and not (homes and self._held(req, homes[0])):  # a suspect parent's trial
+            ways = [(be, [be]) for be in parents[:1] if be.suspect and be not in req.avoid]
+        sources = [be for be in sources if not (self.direct and be.suspect)]
+        ways += [(be, sources) for be in tried if self._fit(be, self.caches)]
         ways += [(be, sources) for be in tried]
         if self.direct and (passed or all(be.suspect for be in tried)):
             over = [(be, [be]) for be in sources]
@@ -308,11 +313,11 @@
                 obj.marked = now
         limit = req.until - self.tick - now
         for peer in touched:
+            peer.reqs[req] = None
             peer.budget.append((now, vhost.work))
             peer.load += req.units
             if peer.suspect:
                 peer.trial = req
-        be.reqs[req] = None
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
         req.fill, req.renew = fill, renew
@@ -350,9 +355,9 @@
         source = req.source
         for peer in ((be,) if be is source else (be, source)):
             peer.load = max(0.0, peer.load - req.units)
+            peer.reqs.pop(req, None)
             if peer.trial is req:
                 peer.trial = None
-        be.reqs.pop(req, None)
         self.ways[be].count -= 1
         self.link.count -= req.fill
         req.out = req.flowing = False
@@ -374,7 +379,8 @@
 
     # --- health ---
 
-    def _blame(self, req: Req, be: Be, source: Be, outcome: str, took: int, note: int) -> None:
+    def _blame(self, req: Req, be: Be, source: Be, outcome: str, took: int, note: int,
+               trial: Req | None) -> None:
         """Judge a cache and its source by how a dispatch ended."""
         now, vhost = self.host.now(), self.vhosts[req.vhost]
         if outcome in ("done", "miss", "full"):
@@ -391,47 +397,59 @@
                 if req.fill or req.renew or req.obj.home is not be:
                     req.obj.home, req.obj.filled = be, req.sent
                 req.obj.work = min(took, req.obj.work or took)
-            if filled:
-                self._clear(source)
+            if source is not be and filled and took <= vhost.aim(req.work):
+                source.late -= source.late / 8
+                if req is trial and (note or not self.direct):
+                    self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
             self._strike(be, now)
-        elif note in (7, 10):
-            self._strike(source, now)
+        elif note == 7:
+            self._doubt(source, now)
 
     def _clear(self, be: Be) -> None:
+        """It answers."""
         if be.suspect:
             self.host.log(f"{be.name} answers again")
-        be.heard, be.strikes, be.backoff, be.suspect = self.host.now(), 0, 0, False
+        be.heard, be.strikes, be.backoff, be.suspect, be.late = self.host.now(), 0, 0, False, 0.0
 
     def _strike(self, be: Be, now: int) -> None:
-        """Count a symptom; enough of them in a row leave a be to trials, more and more sparsely."""
+        """Count a symptom with no answer since; enough in a row make a be suspect."""
         be.strikes += 1
-        if be.kind == self.parent_kind and all(peer.strikes for peer in self.parents):
-            return  # what all parents show is the origin's
-        if be.kind == self.origin_kind or min(max(self.late, DOUBT**0.5), DOUBT**0.25) ** be.strikes > DOUBT:
+        if be.suspect or min(max(self.late, DOUBT**0.5), DOUBT**0.25) ** be.strikes <= DOUBT:
+            self._suspect(be, now)
+
+    def _doubt(self, source: Be, now: int) -> None:
+        """Count a fill that came late, or not at all, through a cache that answers others. A parent that most
+        fills wait for, while another's come, is suspect; what all parents show is the origin's."""
+        source.late += (1 - source.late) / 8
+        others = [peer.late for peer in self.parents if peer is not source]
+        if source.suspect or (source.late > 0.5 and others and min(others) < source.late / 2):
+            self._suspect(source, now)
+
+    def _suspect(self, be: Be, now: int) -> None:
+        """Leave a be to single trials, more and more sparsely, and call back what waits for it."""
+        if be.kind == self.origin_kind:
             return
         longest = max(vhost.target for vhost in self.vhosts)
         be.backoff = min(max(longest, 2 * be.backoff), 16 * longest)
         be.retry_at = now + be.backoff
         if not be.suspect:
             be.suspect = True
-            self.host.log(f"{be.name} left alone after {be.strikes} symptoms")
-            for req in [req for req in be.reqs if req.sent > be.heard]:
-                self._recall(req)
+            self.host.log(f"{be.name} left alone: {be.strikes} symptoms in a row, {be.late:.1f} of fills late")
+            for req in list(be.reqs):
+                if req.sent > be.heard and (req.be is be or req.fill):
+                    self._recall(req)
 
     def _overdue(self, req: Req) -> None:
         """A dispatch takes far longer than its like."""
-        now, be, source = self.host.now(), req.be, req.source
+        now, be, source, aim = self.host.now(), req.be, req.source, self.vhosts[req.vhost].aim(req.work)
         if be.heard < req.sent:  # nothing has come from there since: the cache
             self._strike(be, now)
             self._recall(req)
-        elif source is not be and source.struck_by is not be:  # the cache answers others: its source
-            source.struck_by = be
-            self._strike(source, now)
-            if source.suspect:
-                self._recall(req)
-        if req.out and now < req.sent + 2 * self.vhosts[req.vhost].aim(req.work):
-            self._push(req.sent + 2 * self.vhosts[req.vhost].aim(req.work), req, req.tries - 1)
+        elif now < req.sent + 2 * aim:  # the cache answers others: its source
+            if req.fill and source is not be:
+                self._doubt(source, now)
+            self._push(req.sent + 2 * aim, req, req.tries - 1)
         elif not req.fill:  # a likely hit whose answer is lost, though the cache answers others
             self._recall(req)
 
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -22,7 +22,7 @@
     load: float = 0.0  # bytes (or reqs) of this gateway's dispatches in flight
     heard: int = 0  # when it last answered
     strikes: int = 0  # symptoms since then
-    struck_by: Be | None = None  # the cache through which a source last showed one
+    late: float = 0.0  # part of the fills asked of it that came late
     suspect: bool = False
     retry_at: int = 0
     backoff: int = 0
