--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -398,7 +398,7 @@
                     req.obj.home, req.obj.filled = be, req.sent
                 req.obj.work = min(took, req.obj.work or took)
             if source is not be and filled and took <= vhost.aim(req.work):
-                source.late -= source.late / 8
+                source.late -= source.late / 4
                 if req is trial and (note or not self.direct):
                     self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
@@ -421,7 +421,7 @@
     def _doubt(self, source: Be, now: int) -> None:
         """Count a fill that came late, or not at all, through a cache that answers others. A parent that most
         fills wait for, while another's come, is suspect; what all parents show is the origin's."""
-        source.late += (1 - source.late) / 8
+        source.late += (1 - source.late) / 4
         others = [peer.late for peer in self.parents if peer is not source]
         if source.suspect or (source.late > 0.5 and others and min(others) < source.late / 2):
             self._suspect(source, now)
