--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -423,7 +423,7 @@
         fills wait for, while another's come, is suspect; what all parents show is the origin's."""
         source.late += (1 - source.late) / 4
         others = [peer.late for peer in self.parents if peer is not source]
-        if source.suspect or (source.late > 0.5 and others and min(others) < source.late / 2):
+        if source.suspect or (source.late > 0.5 and others and min(others) < TOLERATED):
             self._suspect(source, now)
 
     def _suspect(self, be: Be, now: int) -> None:
