Doubt a parent for a req of untold size only after twice the target

Cause: on calm stretches at the terminals large objects of untold size passed for late fills and parents were left alone in turn.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -239,7 +239,8 @@
         sources = [be for be in sources if be not in req.avoid] or self.origins
         tried = [be for be in homes if be not in req.avoid]
         ways = []
-        if self.direct and not passed and not (homes and self._held(req, homes[0])):  # a suspect parent's trial
+        if self.direct and not passed and not (homes and self._held(req, homes[0])):
+            # a suspect parent's trial goes straight to it: through a cache a hit would pass for its answer
             ways = [(be, [be]) for be in parents[:1] if be.suspect and be not in req.avoid]
         sources = [be for be in sources if not (self.direct and be.suspect)]
         ways += [(be, sources) for be in tried if self._fit(be, self.caches)]
@@ -387,8 +388,7 @@
             self._clear(be)
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
-            known = req.kbytes or req.obj is None or req.obj.work  # else a long answer may be but a large one
-            late = outcome != "done" or (known and took > vhost.aim(req.work))
+            late = outcome != "done" or (self._sized(req) and took > vhost.aim(req.work))
             self.late += LEARN * (late - self.late)
             (self.link if filled else self.ways[be]).heed(late, now, vhost.target)
         if outcome == "done":
@@ -415,7 +415,8 @@
     def _strike(self, be: Be, now: int) -> None:
         """Count a symptom with no answer since; enough in a row make a be suspect."""
         be.strikes += 1
-        if be.suspect or min(max(self.late, DOUBT**0.5), DOUBT**0.25) ** be.strikes <= DOUBT:
+        usual = min(max(self.late, DOUBT**0.5), DOUBT**0.25)
+        if be.suspect or usual**be.strikes <= DOUBT:
             self._suspect(be, now)
 
     def _doubt(self, source: Be, now: int) -> None:
@@ -435,7 +436,8 @@
         be.retry_at = now + be.backoff
         if not be.suspect:
             be.suspect = True
-            self.host.log(f"{be.name} left alone: {be.strikes} symptoms in a row, {be.late:.1f} of fills late")
+            why = f"{be.late:.1f} of its fills late" if be.late else f"{be.strikes} symptoms in a row"
+            self.host.log(f"{be.name} left alone: {why}")
             for req in list(be.reqs):
                 if req.sent > be.heard and (req.be is be or req.fill):
                     self._recall(req)
@@ -446,13 +448,20 @@
         if be.heard < req.sent:  # nothing has come from there since: the cache
             self._strike(be, now)
             self._recall(req)
-        elif now < req.sent + 2 * aim:  # the cache answers others: its source
-            if req.fill and source is not be:
-                self._doubt(source, now)
+            return
+        again = now >= req.sent + 2 * aim
+        if req.fill and source is not be and again != self._sized(req):
+            self._doubt(source, now)  # the cache answers others: its source
+        if not again:
             self._push(req.sent + 2 * aim, req, req.tries - 1)
         elif not req.fill:  # a likely hit whose answer is lost, though the cache answers others
             self._recall(req)
 
+    @staticmethod
+    def _sized(req: Req) -> bool:
+        """Is its sending time known? Else a long answer may be but a large one."""
+        return bool(req.kbytes or req.obj is None or req.obj.work)
+
     def _recall(self, req: Req) -> None:
         """Call a dispatch back; its outcome sends the req on. Only where that can do no harm."""
         if req.out and self.can_cancel and not req.flowing and self.vhosts[req.vhost].effect == "replayable":
