--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -183,7 +183,8 @@
             req.avoid.append(be)
         if note != 9 and source is not be:
             req.avoid.append(source)
-        req.rejoin = False  # what just failed may be the fill itself
+        if outcome in RAN:
+            req.rejoin = False  # what just failed may be the fill itself
         self._walk(req)
 
     def left(self, req: Req) -> None:
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,152 @@
+"""One small test for each failure found on the bench's days."""
+
+from rig import SEC, Model, settings
+
+from lilacloft.decide import Limit
+
+
+def last(model, req):
+    return model.history[req][-1]
+
+
+def homes(model, key, part=0):
+    return model.router._order(model.router.caches, f"{key} {part}")
+
+
+def test_all_gateways_pick_one_home_and_one_parent_and_join_there():
+    ours, theirs = (Model(settings(), seed=seed) for seed in (1, 2))
+    for n in range(50):
+        reqs = ours.ask(f"k{n}"), theirs.ask(f"k{n}")
+        mine, other = last(ours, reqs[0]), last(theirs, reqs[1])
+        ours.end(reqs[0])
+        theirs.end(reqs[1])
+        assert (mine[1].name, mine[2].name) == (other[1].name, other[2].name)
+        assert mine[5]["join"]
+    assert len({send[2] for send in ours.sends}) == 4 and len({send[3] for send in ours.sends}) == 2
+
+
+def test_one_req_per_fresh_time_renews_and_none_without_one():
+    model = Model(settings(fresh=(10 * SEC,), grace=(5 * SEC,)))
+    marks = []
+    for _ in range(40):
+        req = model.ask()
+        marks.append(last(model, req)[5]["renew"])
+        assert last(model, req)[5]["age"] == 15 * SEC
+        model.run(500)
+        model.end(req)
+        model.run(SEC - 500)
+    assert marks.count(True) == 5  # one each 8 of 40 seconds
+    plain = Model(settings())
+    assert not last(plain, plain.ask())[5]["renew"]
+
+
+def test_late_answers_narrow_a_limit_and_good_ones_widen_it_again():
+    limit = Limit(12.0)
+    limit.count = 12
+    for n in range(40):
+        limit.heed(True, n * SEC, 4000)
+    assert limit.limit < 6 and limit.open(1.0) is False
+    limit.count = 1
+    for n in range(60):
+        limit.heed(False, 0, 4000)
+    assert limit.limit > 1.9
+
+
+def test_a_crowd_is_denied_at_once_and_small_reqs_last():
+    model = Model(settings())
+    large = [model.ask(f"k{n}", kbytes=4000.0) for n in range(200)]
+    refused = [req for req in large if req.closed]
+    assert refused and all(at == model.time for _, at in model.finals)
+    assert not model.ask("small", kbytes=40.0).closed
+
+
+def test_a_silent_cache_is_left_and_its_reqs_sent_on_without_join():
+    model = Model(settings())
+    home = homes(model, "k")[0]
+    reqs = [model.ask("k", left=4 * SEC) for _ in range(4)]
+    assert all(last(model, req)[1] is home for req in reqs)
+    model.run(7000)
+    assert home.suspect
+    assert all(last(model, req)[1] is not home and not last(model, req)[5]["join"] for req in reqs)
+    assert all(last(model, model.ask("k"))[1] is not home for _ in range(5))
+
+
+def test_a_suspect_gets_one_trial_at_a_time_and_returns_with_its_answer():
+    model = Model(settings())
+    home = homes(model, "k")[0]
+    home.suspect, home.retry_at = True, model.time
+    trial, other = model.ask("k"), model.ask("k")
+    assert last(model, trial)[1] is home and last(model, other)[1] is not home
+    model.end(trial)
+    assert not home.suspect
+
+
+def slow_fills(model, parents):
+    for n in range(60):
+        req = model.ask(f"k{n}", left=5 * SEC)
+        late = last(model, req)[2] in parents
+        for be in model.caches:
+            be.heard = model.time + 1  # all caches go on answering others
+        model.run(8000 if late else 500)
+        if model.out(req):
+            model.end(req)
+
+
+def test_a_parent_is_left_when_its_fills_are_late_and_the_others_are_not():
+    model = Model(settings())
+    slow_fills(model, model.parents[:1])
+    assert model.parents[0].late > 0.5 and model.parents[0].suspect and not model.parents[1].suspect
+
+
+def test_what_all_parents_show_is_the_origins():
+    model = Model(settings())
+    slow_fills(model, model.parents)
+    assert not any(be.suspect for be in model.parents + [model.origin])
+
+
+def test_a_lost_answer_is_asked_for_again_though_the_cache_answers_others():
+    model = Model(settings())
+    first = model.ask()
+    model.run(200)
+    model.end(first)
+    lost = model.ask()
+    last(model, lost)[1].heard = model.time + 1
+    model.run(2 * SEC)
+    assert len(model.history[lost]) > 1 and not last(model, lost)[5]["join"]
+
+
+def test_a_purge_a_restart_and_age_make_a_held_copy_a_likely_fill():
+    model = Model(settings(fresh=(10 * SEC,), grace=(0,)))
+    router = model.router
+
+    def fill():
+        req = model.ask()
+        model.run(100)
+        model.end(req)
+        model.run(100)
+        return req, last(model, req)[1]
+
+    req, be = fill()
+    assert router._held(req, be)
+    router.purged("k", 1, 50)
+    assert not router._held(req, be)
+    req, be = fill()
+    model.list("delta", [(be, 1, model.time)])
+    assert not router._held(req, be)
+    model.list("delta", [(be, 1, 0)])
+    be.started = 0
+    model.run(11 * SEC)
+    assert not router._held(req, be)
+
+
+def test_a_cold_cache_takes_no_more_than_it_can_do():
+    model = Model(settings())
+    home = homes(model, "k")[0]
+    model.list("delta", [(home, 1, model.time)])
+    sent = 0
+    for n in range(300):
+        req = model.ask("k", part=0)
+        sent += bool(model.history[req]) and last(model, req)[1] is home
+        if model.out(req):
+            model.end(req, took=100)
+    assert 0 < sent * 2000 <= 0.8 * 0.2 * 5 * SEC / 2 + 2000 and model.wrong == []
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,66 @@
+"""The adapter: names, units, framing, and plain words for what is malformed."""
+
+import io
+import json
+
+import pytest
+from rig import SEC
+
+from lilacloft.drill.wire import Drill, main, settings
+
+ENV = json.loads("""{"balancers": 2, "discovery": "subscribe", "granularityNs": 2000000, "zone": 0,
+"classes": [{"promiseNs": 400000000, "deadlineNs": 5000000000, "gain": 2.0, "repeat": "by_key", "new": 1,
+"aimStretch": null}],
+"familyInfo": {"freshForNs": [8000000000], "zoneBalancers": [2], "parentKind": 1, "sourceKind": 2,
+"joins": true, "paceKbPerS": 4000.0, "passThroughOk": true, "purgeDoneNs": 6000000000, "parentFloor": 0.06,
+"parentBreaksAt": 2.0, "parentWarmsInNs": 20000000000},
+"limits": {"maxAttempts": 6, "cancel": true, "retryAfter": true, "maxRetryAfterNs": 500000000},
+"obligations": {"startCapacity": 0.2, "coldNs": 15000000000, "tipMultiple": 2.0, "fallNs": 1000000000}}""")
+LIST = ["fleet", 1, 0, [["c.b", 0, 0, 0, 1, 2.0], ["c.a", 0, 1, 0, 1], ["c.o", 0, 2, 0, 1, None, None]]]
+ASK = ["ingress", "id-1", 0, 3, None, 4000000000, 0, 0, None, "91f0"]
+
+
+def batch(drill, *events, at=10**12, who="gateway-0"):
+    line = json.dumps({"tNs": at, "parts": [{"who": who, "happened": list(events)}]}).encode()
+    return [act for part in drill.batch(line)["parts"] for act in part["actions"]]
+
+
+def test_settings_are_renamed_and_converted_by_rote():
+    got = settings(ENV)
+    assert got["vhosts"][0]["first_byte_target"] == 4000 and got["vhosts"][0]["effect"] == "uniqued"
+    assert got["family"]["fresh"] == [8 * SEC] and got["vhosts"][0]["new"] == 1
+    assert settings({"aNs": 1, "bNs": 0}) == {"a": 1, "b": 0}
+
+
+def test_a_life_with_restart_in_one_batch_and_forgotten_ids():
+    drill = Drill()
+    assert drill.batch(b'{"tNs":1,"parts":[]}') == {"parts": []}
+    acts = batch(drill, ["up", 7, ENV], LIST, ASK)
+    assert ["subscribe", True] in acts
+    sent = next(act for act in acts if act[0] == "fetchThrough")
+    assert sent[1:3] == ["id-1", "c.b"] and sent[4] == "c.a" and sent[6] == 8 * 10**9 and sent[7] & 1
+    done = ["resolved", "id-1", 0, "c.b", "Ok", 9000000, True]
+    assert batch(drill, done, done, ["cancelledByClient", "id-1"], ["resolved", "id-9", 0, "c.z", "Ok"]) == []
+    acts = batch(drill, ["down"], ["up", 7, ENV], LIST, done)
+    assert [act[0] for act in acts].count("subscribe") == 1
+
+
+@pytest.mark.parametrize("who, event, told", [
+    ("gateway-1", ASK, "gateway-1"), ("gateway-0", ["novel"], "novel"), ("gateway-0", [], "no array with"),
+    ("gateway-0", ["resolved", "x", 0, "c.b", "Maybe"], "Maybe"), ("gateway-0", ["ingress"], "id is missing"),
+    ("gateway-0", ["up", 1, {"zone": 0}], "setting family is missing"), (None, None, "no JSON"),
+])
+def test_malformed_input_ends_with_one_plain_line(who, event, told):
+    begin = [["up", 7, ENV], LIST]
+    first = json.dumps({"tNs": 1, "parts": [{"who": "gateway-0", "happened": begin}]}).encode()
+    line = json.dumps({"tNs": 2, "parts": [{"who": who, "happened": [event]}]}).encode() if who else b"{"
+    errors = io.StringIO()
+    assert main(iter([first, line]), io.BytesIO(), errors) != 0
+    assert errors.getvalue().count("\n") == 1 and told in errors.getvalue()
+
+
+def test_an_exception_in_the_module_is_the_crash_action(monkeypatch):
+    drill = Drill()
+    batch(drill, ["up", 7, ENV], LIST)
+    monkeypatch.setattr(drill.gateways["gateway-0"].router, "arrived", lambda req: 1 / 0)
+    assert batch(drill, ASK) == [["die", "ZeroDivisionError: division by zero"]]
