--- a/lilacloft/drill/wire.py
+++ b/lilacloft/drill/wire.py
@@ -328,7 +328,7 @@
             HANDLERS[name](gateway, values)
         except MalformedError:
             raise
-        except Exception as wrong:  # noqa: BLE001  whatever the module raises is its crash, told with its text
+        except Exception as wrong:  # whatever the module raises is its crash, told so
             gateway.actions.append(["die", f"{type(wrong).__name__}: {wrong}"])
         for req in gateway.answered:
             gateway._forget(req)
