Go past a location's caches when all of them are suspect or cold

Cause: after half a fleet was replaced, a location had only cold caches, whose budgets refused most reqs, while parents had room. Covers whole locations lost or replaced; harms the location's link and the parents, whose own limits and budgets hold.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -246,7 +246,8 @@
         sources = [be for be in sources if not (self.direct and be.suspect)]
         ways += [(be, sources) for be in tried if self._fit(be, self.caches)]
         ways += [(be, sources) for be in tried]
-        if self.direct and (passed or all(be.suspect for be in tried)):
+        if self.direct and (passed or all(be.suspect or not self._room(be, vhost.work) for be in tried)):
+            # past the caches: the way of uncacheable vhosts, else the last, where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
             ways = over + ways if passed else ways + over
         for be, fills in ways:
