--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -346,8 +346,8 @@
             capacity = be.size
         elif parent:  # its link is made for what the locations' links bring in
             capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 2
-        else:  # a location's caches together send more than its link for fills brings in
-            capacity = self.feed[self.zone] / self.pace / max(1, len(self.caches))
+        else:  # a location's caches together send twice what its link brings in, or most reqs would need fills
+            capacity = 2 * self.feed[self.zone] / self.pace / max(1, len(self.caches))
         share = floor + (1 - floor) * max(0, age - self.fall) / warm
         gateways = self.gateways if parent else self.zone_gateways
         allowed = min(MARGIN * multiple, BRISK) * share * (capacity or 1.0) * self.fall / gateways
