Blame no cache for fills from a slow source, nor more than half of a location

Cause: with a slow origin only fills were out, so every cache looked silent and was left alone, and hits were refused. Harms where most of a location is really silent: then up to half is still tried with full traffic.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -431,8 +431,9 @@
 
     def _suspect(self, be: Be, now: int) -> None:
         """Leave a be to single trials, more and more sparsely, and call back what waits for it."""
-        if be.kind == self.origin_kind:
-            return
+        others = sum(peer.suspect for peer in self.caches if peer is not be)
+        if be.kind == self.origin_kind or (be in self.caches and 2 * others >= len(self.caches)):
+            return  # what most of a location shows is not the caches' doing
         longest = max(vhost.target for vhost in self.vhosts)
         be.backoff = min(max(longest, 2 * be.backoff), 16 * longest)
         be.retry_at = now + be.backoff
@@ -447,8 +448,8 @@
     def _overdue(self, req: Req) -> None:
         """A dispatch takes far longer than its like."""
         now, be, source, aim = self.host.now(), req.be, req.source, self.vhosts[req.vhost].aim(req.work)
-        if be.heard < req.sent:  # nothing has come from there since: the cache
-            self._strike(be, now)
+        if be.heard < req.sent and not (req.fill and source.late > TOLERATED):
+            self._strike(be, now)  # nothing has come from there since, and no slow source explains it: the cache
             self._recall(req)
             return
         again = now >= req.sent + 2 * aim
