Where the link has no room, ask the home for what it holds only

Cause: reqs for objects new to a gateway counted as fills, so a link limit cut by a slow origin refused three quarters of all reqs though the caches held most; refused reqs taught nothing. Now the home is asked with no source; a miss comes back at once and is denied at once. Costs one short dispatch a refused fill.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -247,14 +247,17 @@
         ways += [(be, sources) for be in tried if self._fit(be, self.caches)]
         ways += [(be, sources) for be in tried]
         if self.direct and (passed or all(be.suspect or not self._room(be, vhost.work) for be in tried)):
-            # past the caches: the way of uncacheable vhosts, else the last, where all caches are suspect or cold
+            # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
             ways = over + ways if passed else ways + over
         for be, fills in ways:
             for source in fills:
                 if self._send(req, be, source):
                     return None
-        return self._answer(req)
+        # no room for a fill: what the home holds costs the link nothing; a miss there comes back at once
+        if passed or not homes or homes[0] in req.avoid or not self._send(req, homes[0], homes[0]):
+            self._answer(req)
+        return None
 
     @staticmethod
     def _order(pool: list[Be], key: str) -> list[Be]:
@@ -302,7 +305,8 @@
         for peer in touched:
             if peer.suspect and (now < peer.retry_at or peer.trial or vhost.effect != "replayable"):
                 return False
-        fill = be is source or not self._held(req, be)
+        look = be is source and be in self.caches
+        fill = not look and (be is source or not self._held(req, be))
         favour = min(max(vhost.value / req.work * self.work / self.value, 1 / FAVOUR), FAVOUR)
         if not self.ways[be].open(favour) or (fill and not self.link.open(favour)):
             return False
@@ -311,7 +315,7 @@
         obj, renew, rank = req.obj, False, 0
         if obj is not None:
             rank = 1 if obj.seen < 2 else 2
-            renew = vhost.fresh > 0 and (obj.marked is None or now - obj.marked >= RENEW_FROM * vhost.fresh)
+            renew = not look and vhost.fresh > 0 and (obj.marked is None or now - obj.marked >= RENEW_FROM * vhost.fresh)
             if renew:
                 obj.marked = now
         limit = req.until - self.tick - now
@@ -346,7 +350,7 @@
             capacity = be.size
         elif parent:  # its link is made for what the locations' links bring in
             capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 2
-        else:  # a location's caches together send twice what its link brings in, or most reqs would need fills
+        else:  # a location's caches together send twice what its link brings in, else most reqs were fills
             capacity = 2 * self.feed[self.zone] / self.pace / max(1, len(self.caches))
         share = floor + (1 - floor) * max(0, age - self.fall) / warm
         gateways = self.gateways if parent else self.zone_gateways
@@ -449,7 +453,7 @@
         """A dispatch takes far longer than its like."""
         now, be, source, aim = self.host.now(), req.be, req.source, self.vhosts[req.vhost].aim(req.work)
         if be.heard < req.sent and not (req.fill and source.late > TOLERATED):
-            self._strike(be, now)  # nothing has come from there since, and no slow source explains it: the cache
+            self._strike(be, now)  # nothing since, and no slow source explains it: the cache
             self._recall(req)
             return
         again = now >= req.sent + 2 * aim
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -150,3 +150,23 @@
         if model.out(req):
             model.end(req, took=100)
     assert 0 < sent * 2000 <= 0.8 * 0.2 * 5 * SEC / 2 + 2000 and model.wrong == []
+
+
+def test_where_the_link_has_no_room_the_home_is_asked_for_what_it_holds_only():
+    model = Model(settings())
+    model.router.link.limit = 0.0
+    req = model.ask("k")
+    assert last(model, req)[1] is last(model, req)[2] is homes(model, "k")[0]
+    model.end(req, "miss")
+    assert req.closed and model.finals == [(req, model.time)]
+
+
+def test_fills_late_from_a_slow_source_leave_no_cache_alone_nor_most_of_a_location():
+    model = Model(settings())
+    model.parents[0].late = model.parents[1].late = 0.5
+    reqs = [model.ask(f"k{n}") for n in range(8)]
+    model.run(2 * SEC)
+    assert reqs and not any(be.suspect for be in model.caches)
+    for be in model.caches:
+        model.router._suspect(be, model.time)
+    assert sum(be.suspect for be in model.caches) == 2
