--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -31,6 +31,7 @@
 GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target bears half the pace
 FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
 DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
+LONG = 4  # targets for which a be must have been left alone to count as started anew
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "cancelled")  # outcomes after which a dispatch may have run
 
@@ -413,9 +414,12 @@
             self._doubt(source, now)
 
     def _clear(self, be: Be) -> None:
-        """It answers."""
+        """It answers. After a long silence it may have started anew, cold, long before the list tells: it is
+        treated so. A cache that only hung gets its traffic back slowly for that."""
         if be.suspect:
             self.host.log(f"{be.name} answers again")
+            if self.host.now() - be.left >= LONG * max(vhost.target for vhost in self.vhosts):
+                be.started = self.host.now()
         be.heard, be.strikes, be.backoff, be.suspect, be.late = self.host.now(), 0, 0, False, 0.0
 
     def _strike(self, be: Be, now: int) -> None:
