--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -31,7 +31,6 @@
 GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target bears half the pace
 FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
 DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
-LONG = 4  # targets for which a be must have been left alone to count as started anew
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "cancelled")  # outcomes after which a dispatch may have run
 
@@ -180,7 +179,8 @@
             return
         if outcome in RAN and req.first_ran is None:
             req.first_ran, req.ran_at = req.sent, be
-        if note not in (6, 7, 8, 10) and (be.suspect or not source.suspect):
+        lost = outcome == "cancelled" and not be.suspect and be.heard >= req.sent  # it answers others
+        if note not in (6, 7, 8, 10) and not lost:
             req.avoid.append(be)
         if note != 9 and source is not be:
             req.avoid.append(source)
@@ -316,7 +316,8 @@
         obj, renew, rank = req.obj, False, 0
         if obj is not None:
             rank = 1 if obj.seen < 2 else 2
-            renew = not look and vhost.fresh > 0 and (obj.marked is None or now - obj.marked >= RENEW_FROM * vhost.fresh)
+            renew = not look and vhost.fresh > 0 and (
+                obj.marked is None or now - obj.marked >= RENEW_FROM * vhost.fresh)
             if renew:
                 obj.marked = now
         limit = req.until - self.tick - now
@@ -414,12 +415,9 @@
             self._doubt(source, now)
 
     def _clear(self, be: Be) -> None:
-        """It answers. After a long silence it may have started anew, cold, long before the list tells: it is
-        treated so. A cache that only hung gets its traffic back slowly for that."""
+        """It answers."""
         if be.suspect:
             self.host.log(f"{be.name} answers again")
-            if self.host.now() - be.left >= LONG * max(vhost.target for vhost in self.vhosts):
-                be.started = self.host.now()
         be.heard, be.strikes, be.backoff, be.suspect, be.late = self.host.now(), 0, 0, False, 0.0
 
     def _strike(self, be: Be, now: int) -> None:
@@ -465,7 +463,7 @@
             self._doubt(source, now)  # the cache answers others: its source
         if not again:
             self._push(req.sent + 2 * aim, req, req.tries - 1)
-        elif not req.fill:  # a likely hit whose answer is lost, though the cache answers others
+        elif not req.fill or self.link.late <= TOLERATED:  # its answer is lost, though others' come
             self._recall(req)
 
     @staticmethod
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -24,7 +24,6 @@
     strikes: int = 0  # symptoms since then
     late: float = 0.0  # part of the fills asked of it that came late
     suspect: bool = False
-    left: int = 0  # since when
     retry_at: int = 0
     backoff: int = 0
     trial: Req | None = None
