--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -463,7 +463,7 @@
             self._doubt(source, now)  # the cache answers others: its source
         if not again:
             self._push(req.sent + 2 * aim, req, req.tries - 1)
-        elif not req.fill or self.link.late <= TOLERATED:  # its answer is lost, though others' come
+        elif not req.fill:  # a likely hit whose answer is lost, though the cache answers others
             self._recall(req)
 
     @staticmethod
