--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -332,8 +332,7 @@
         req.fill, req.renew = fill, renew
         self.ways[be].count += 1
         self.link.count += fill
-        calm = not fill and self._sized(req) and self.ways[be].late <= TOLERATED / 2
-        self._push(now + vhost.aim(req.work) // (2 if calm else 1), req, req.tries - 1)
+        self._push(now + vhost.aim(req.work), req, req.tries - 1)
         join = obj is not None and self.joins and req.rejoin
         self.host.fetch(req, be, limit, source, rank, self._age(req), join, False, False, renew)
         return True
@@ -455,13 +454,10 @@
     def _overdue(self, req: Req) -> None:
         """A dispatch takes far longer than its like."""
         now, be, source, aim = self.host.now(), req.be, req.source, self.vhosts[req.vhost].aim(req.work)
-        if now >= req.sent + aim and be.heard < req.sent and not (req.fill and source.late > TOLERATED):
+        if be.heard < req.sent and not (req.fill and source.late > TOLERATED):
             self._strike(be, now)  # nothing since, and no slow source explains it: the cache
             self._recall(req)
             return
-        if now < req.sent + aim:  # half-way a likely hit at a calm cache should be done: its answer is lost
-            self._push(req.sent + aim, req, req.tries - 1)
-            return self._recall(req)
         again = now >= req.sent + 2 * aim
         if req.fill and source is not be and again != self._sized(req):
             self._doubt(source, now)  # the cache answers others: its source
