--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -245,8 +245,9 @@
             # a suspect parent's trial goes straight to it: through a cache a hit would pass for its answer
             ways = [(be, [be]) for be in parents[:1] if be.suspect and be not in req.avoid]
         sources = [be for be in sources if not (self.direct and be.suspect)]
-        ways += [(be, sources) for be in tried if self._fit(be, self.caches)]
-        ways += [(be, sources) for be in tried]
+        able = [be for be in tried if self._fit(be, self.caches)] or tried
+        able = [be for be in able if self._well(be, vhost) and self._room(be, vhost.work)]
+        ways += [(be, sources) for be in able[:1]]  # a crowded home is no reason to fill another: it denies
         if self.direct and (passed or all(be.suspect or not self._room(be, vhost.work) for be in tried)):
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
@@ -273,6 +274,11 @@
         mean = sum(peer.load for peer in pool) / sum(peer.size for peer in pool)
         return be.load <= max(FLOOR * self.unit, SPREAD * mean * be.size)
 
+    def _well(self, be: Be, vhost: Vhost) -> bool:
+        """Is it in health, or due for a trial that can do no harm?"""
+        due = self.host.now() >= be.retry_at and be.trial is None and vhost.effect == "replayable"
+        return due or not be.suspect
+
     def _age(self, req: Req) -> int:
         """The oldest copy that will do (0: any): fresh or in the grace, never older than a known purge."""
         vhost, now = self.vhosts[req.vhost], self.host.now()
@@ -304,7 +310,7 @@
                 return False
         touched = (be,) if be is source else (be, source)
         for peer in touched:
-            if peer.suspect and (now < peer.retry_at or peer.trial or vhost.effect != "replayable"):
+            if not self._well(peer, vhost):
                 return False
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
