--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -91,7 +91,6 @@
         self.pace = family["pace_kb_per_s"] / 10_000  # KB in a tenth of a millisecond
         self.feed = [rate / 10_000 for rate in family.get("feed_kb_per_s") or [0] * (self.zone + 1)]
         self.sizes_told = settings.get("weight_source", "silent") != "silent"
-        self.sideways = family.get("sideways", "silent") != "silent"
         self.direct, self.joins = family["pass_through_ok"], family["joins"]
         self.purge_done = family["purge_done"] + 1
         self.cold_cache = rules["start_capacity"], rules["cold"] + 1, rules["tip_multiple"]
@@ -181,9 +180,7 @@
         if outcome in RAN and req.first_ran is None:
             req.first_ran, req.ran_at = req.sent, be
         lost = outcome == "cancelled" and not be.suspect and be.heard >= req.sent  # it answers others
-        if outcome == "miss" and source is not be:
-            req.obj.home = None  # it lacks what this gateway thought it held
-        elif note not in (6, 7, 8, 10) and not lost:
+        if note not in (6, 7, 8, 10) and not lost:
             req.avoid.append(be)
         if note != 9 and source is not be:
             req.avoid.append(source)
@@ -254,9 +251,6 @@
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
             ways = over + ways if passed else ways + over
-        former = req.obj.home if req.obj and self.sideways and homes and req.obj.home is not homes[0] else None
-        if former in tried and self._held(req, former):  # a new home is empty: its former home may fill it
-            ways.insert(0, (homes[0], [former]))
         for be, fills in ways:
             for source in fills:
                 if self._send(req, be, source):
@@ -313,7 +307,7 @@
             if peer.suspect and (now < peer.retry_at or peer.trial or vhost.effect != "replayable"):
                 return False
         look = be is source and be in self.caches
-        fill = source not in self.caches and (be is source or not self._held(req, be))
+        fill = not look and (be is source or not self._held(req, be))
         favour = min(max(vhost.value / req.work * self.work / self.value, 1 / FAVOUR), FAVOUR)
         if not self.ways[be].open(favour) or (fill and not self.link.open(favour)):
             return False
