--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -308,7 +308,7 @@
                 return False
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
-        favour = min(max(vhost.value / req.work * self.work / self.value, 1 / FAVOUR), FAVOUR)
+        favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
         if not self.ways[be].open(favour) or (fill and not self.link.open(favour)):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
@@ -442,7 +442,7 @@
             return  # what most of a location shows is not the caches' doing
         longest = max(vhost.target for vhost in self.vhosts)
         be.backoff = min(max(longest, 2 * be.backoff), 16 * longest)
-        be.retry_at = now + be.backoff
+        be.retry_at = now + int(be.backoff * (0.75 + self._draw() / 2))  # spread: gateways try at other times
         if not be.suspect:
             be.suspect = True
             why = f"{be.late:.1f} of its fills late" if be.late else f"{be.strikes} symptoms in a row"
