--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -1,7 +1,7 @@
 """Every decision of a lilacloft gateway: where a req goes, what fills its copy, when it is given up.
 
-How to call it: make one Router a gateway from a Host (its interface: lilacloft/host.py), the settings by name
-and a seed; then call the method named for each thing that happens. It acts by calling the host at once.
+How to call it: make one Router a gateway from a Host (its interface: lilacloft/host.py), the settings by name;
+then call the method named for each thing that happens. It acts by calling the host at once, and draws no chance.
 All times and spans are whole tenths of a millisecond; records (Req, Be, Obj) stand in lilacloft/state.py.
 """
 
@@ -9,7 +9,6 @@
 
 import heapq
 import math
-import zlib
 from collections.abc import Iterable, Mapping
 from hashlib import blake2b
 from typing import Any
@@ -81,8 +80,8 @@
 class Router:
     """One gateway's decisions."""
 
-    def __init__(self, host: Host, settings: Mapping[str, Any], seed: int) -> None:
-        self.host, self.seed, self.draws = host, seed, 0
+    def __init__(self, host: Host, settings: Mapping[str, Any]) -> None:
+        self.host = host
         family, rules, self.limits = settings["family"], settings["rules"], settings["limits"]
         self.vhosts = [Vhost(config, family, place) for place, config in enumerate(settings["vhosts"])]
         self.zone, self.gateways = settings["zone"], settings["gateways"]
@@ -442,7 +441,7 @@
             return  # what most of a location shows is not the caches' doing
         longest = max(vhost.target for vhost in self.vhosts)
         be.backoff = min(max(longest, 2 * be.backoff), 16 * longest)
-        be.retry_at = now + int(be.backoff * (0.75 + self._draw() / 2))  # spread: gateways try at other times
+        be.retry_at = now + be.backoff
         if not be.suspect:
             be.suspect = True
             why = f"{be.late:.1f} of its fills late" if be.late else f"{be.strikes} symptoms in a row"
@@ -487,8 +486,3 @@
         if self.due and (self.armed is None or self.due[0][0] < self.armed):
             self.armed = self.due[0][0]
             self.host.wake(self.armed, "due")
-
-    def _draw(self) -> float:
-        """A number from 0 to 1."""
-        self.draws += 1
-        return zlib.crc32(f"{self.seed} {self.draws}".encode()) / 2**32
--- a/lilacloft/drill/wire.py
+++ b/lilacloft/drill/wire.py
@@ -175,9 +175,10 @@
         return self.bes.get(field(values, place, str, "cache"))
 
     def up(self, values: list[Any]) -> None:
-        seed, env = field(values, 0, int, "initSeed"), field(values, 1, dict, "env")
+        field(values, 0, int, "initSeed")  # the module draws no chance
+        env = field(values, 1, dict, "env")
         try:
-            self.router = Router(self, settings(env), seed)
+            self.router = Router(self, settings(env))
         except KeyError as wrong:
             raise MalformedError(f"setting {wrong.args[0]} is missing") from wrong
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -31,14 +31,14 @@
 class Model:
     """The host, and beside it the rules in their plainest words; each breach is a line in `wrong`."""
 
-    def __init__(self, config, caches=4, parents=2, seed=7):
+    def __init__(self, config, caches=4, parents=2):
         self.config, self.time = config, 1000 * SEC
         self.wakes, self.wrong, self.sends, self.finals = [], [], [], []
         self.history, self.purges, self.listed, self.asked = {}, [], {}, []
         self.caches = [Be(f"c{n}") for n in range(caches)]
         self.parents = [Be(f"p{n}") for n in range(parents)]
         self.origin = Be("origin")
-        self.router = Router(self, config, seed)
+        self.router = Router(self, config)
         self.list("full", [(be, 1, 0) for be in [*self.caches, *self.parents, self.origin]])
 
     def kind(self, be):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -14,7 +14,7 @@
 
 
 def test_all_gateways_pick_one_home_and_one_parent_and_join_there():
-    ours, theirs = (Model(settings(), seed=seed) for seed in (1, 2))
+    ours, theirs = Model(settings()), Model(settings())
     for n in range(50):
         reqs = ours.ask(f"k{n}"), theirs.ask(f"k{n}")
         mine, other = last(ours, reqs[0]), last(theirs, reqs[1])
