--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -1,7 +1,7 @@
 """Every decision of a lilacloft gateway: where a req goes, what fills its copy, when it is given up.
 
-How to call it: make one Router a gateway from a Host (its interface: lilacloft/host.py), the settings by name;
-then call the method named for each thing that happens. It acts by calling the host at once, and draws no chance.
+How to call it: make one Router a gateway from a Host (its interface: lilacloft/host.py) and the settings by
+name; then call the method named for each thing that happens. It acts by calling the host at once.
 All times and spans are whole tenths of a millisecond; records (Req, Be, Obj) stand in lilacloft/state.py.
 """
 
