--- a/tests/rig.py
+++ b/tests/rig.py
@@ -174,9 +174,6 @@
     def log(self, text):
         pass
 
-    def subscribe(self, on):
-        self.subscribed = on
-
     def check(self, held, text):
         if not held:
             self.wrong.append(text)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -36,8 +36,7 @@
         model.end(req)
         model.run(SEC - 500)
     assert marks.count(True) == 5  # one each 8 of 40 seconds
-    plain = Model(settings())
-    assert not last(plain, plain.ask())[5]["renew"]
+    assert not last(plain := Model(settings()), plain.ask())[5]["renew"]
 
 
 def test_late_answers_narrow_a_limit_and_good_ones_widen_it_again():
@@ -144,8 +143,8 @@
     home = homes(model, "k")[0]
     model.list("delta", [(home, 1, model.time)])
     sent = 0
-    for n in range(300):
-        req = model.ask("k", part=0)
+    for _ in range(300):
+        req = model.ask("k")
         sent += bool(model.history[req]) and last(model, req)[1] is home
         if model.out(req):
             model.end(req, took=100)
