--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -102,7 +102,8 @@
         self.origins: list[Be] = []
         self.ways: dict[Be, Limit] = {}
         # the location's link in, for reqs that are likely to need a fill
-        self.link = Limit(max(FLOOR, GENEROUS * self.feed[self.zone] / self.pace / self.zone_gateways))
+        feed = self.feed[self.zone] / self.pace or FLOOR
+        self.link = Limit(max(1.0, GENEROUS * feed / self.zone_gateways))
         self.objs: dict[tuple[str, int], Obj] = {}
         self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
@@ -132,13 +133,14 @@
             if started > be.started:
                 be.started, be.suspect, be.strikes, be.backoff = started, False, 0, 0
             self.known[be.name] = be
-            if be not in self.ways:
-                self.ways[be] = Limit(max(FLOOR, GENEROUS * be.size / self.zone_gateways))
         ready = sorted((be for be in self.known.values() if be.status == 1), key=lambda be: be.name)
         self.parents = [be for be in ready if be.kind == self.parent_kind]
         self.origins = [be for be in ready if be.kind == self.origin_kind]
         self.caches = [be for be in ready if be.zone == self.zone
                        and be.kind not in (self.parent_kind, self.origin_kind)]
+        for be in self.known.values():
+            if be not in self.ways:
+                self.ways[be] = Limit(max(1.0, GENEROUS * self._part(be)))
 
     # --- reqs ---
 
@@ -270,7 +272,8 @@
     def _fit(self, be: Be, pool: list[Be]) -> bool:
         """The bound: too much of this gateway's own in flight there?"""
         mean = sum(peer.load for peer in pool) / sum(peer.size for peer in pool)
-        return be.load <= max(FLOOR * self.unit, SPREAD * mean * be.size)
+        floor = FLOOR if be.kind == self.parent_kind else max(1.0, GENEROUS * self._part(be))
+        return be.load <= max(floor * self.unit, SPREAD * mean * be.size)
 
     def _age(self, req: Req) -> int:
         """The oldest copy that will do (0: any): fresh or in the grace, never older than a known purge."""
@@ -347,16 +350,20 @@
         age = self.host.now() - be.started
         if not be.started or age >= warm:
             return True
+        share = floor + (1 - floor) * max(0, age - self.fall) / warm
+        allowed = min(MARGIN * multiple, BRISK) * share * self._part(be) * self.fall
+        return sum(sent for _, sent in be.budget) + work <= allowed
+
+    def _part(self, be: Be) -> float:
+        """This gateway's part of what a be can carry, in transfers at full pace."""
+        parent = be.kind == self.parent_kind
         if self.sizes_told:
             capacity = be.size
         elif parent:  # its link is made for what the locations' links bring in
             capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 2
         else:  # a location's caches together send twice what its link brings in, else most reqs were fills
             capacity = 2 * self.feed[self.zone] / self.pace / max(1, len(self.caches))
-        share = floor + (1 - floor) * max(0, age - self.fall) / warm
-        gateways = self.gateways if parent else self.zone_gateways
-        allowed = min(MARGIN * multiple, BRISK) * share * (capacity or 1.0) * self.fall / gateways
-        return sum(sent for _, sent in be.budget) + work <= allowed
+        return (capacity or 1.0) / (self.gateways if parent else self.zone_gateways)
 
     def _release(self, req: Req, be: Be) -> Be:
         """Take a dispatch that is over out of the accounts; returns its source."""
