Limits may fall below one at a time; growth counts the answer itself

Cause: a limit that stops at one dispatch a gateway is no limit where hundreds of gateways share an origin; and at one it could never grow, as the answer just in was no longer counted. Below one the way now rests between dispatches.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -60,21 +60,25 @@
     with the first good answers.
     """
 
-    def __init__(self, limit: float) -> None:
-        self.limit, self.count, self.late, self.calm = limit, 0, 0.0, 0
+    def __init__(self, limit: float, least: float) -> None:
+        self.limit, self.least, self.count, self.late, self.calm = limit, least, 0, 0.0, 0
+        self.ended = self.took = 0
 
-    def open(self, favour: float) -> bool:
-        """May one more go out, whose value for its work is so many times the usual?"""
-        return self.count < self.limit * favour
+    def open(self, favour: float, now: int) -> bool:
+        """May one more go out, whose value for its work is so many times the usual? Below one at a time the
+        way rests between dispatches, so that many gateways together keep to few."""
+        limit = self.limit * favour
+        return self.count < limit and (limit >= 1 or now >= self.ended + self.took * (1 / limit - 1))
 
-    def heed(self, late: bool, now: int, span: int) -> None:
+    def heed(self, late: bool, now: int, took: int, span: int) -> None:
         """Take in whether an answer came late; one cut in a span at most, as those out tell the same news."""
         self.late += (late - self.late) / 8
+        self.ended, self.took = now, took
         if not late:
-            if self.count >= self.limit / 2:
-                self.limit += 1 / self.limit
+            if self.count + 1 >= self.limit / 2:
+                self.limit += min(self.limit / 2, 1 / self.limit)
         elif self.late > TOLERATED and now >= self.calm:
-            self.limit, self.calm = max(1.0, CUT * min(self.limit, self.count + 1)), now + span
+            self.limit, self.calm = max(self.least, CUT * min(self.limit, self.count + 1)), now + span
 
 
 class Router:
@@ -103,7 +107,7 @@
         self.ways: dict[Be, Limit] = {}
         # the location's link in, for reqs that are likely to need a fill
         feed = self.feed[self.zone] / self.pace or FLOOR
-        self.link = Limit(max(1.0, GENEROUS * feed / self.zone_gateways))
+        self.link = Limit(max(1.0, GENEROUS * feed / self.zone_gateways), 1 / self.gateways)
         self.objs: dict[tuple[str, int], Obj] = {}
         self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
@@ -140,7 +144,7 @@
                        and be.kind not in (self.parent_kind, self.origin_kind)]
         for be in self.known.values():
             if be not in self.ways:
-                self.ways[be] = Limit(max(1.0, GENEROUS * self._part(be)))
+                self.ways[be] = Limit(max(1.0, GENEROUS * self._part(be)), 1 / self.zone_gateways)
 
     # --- reqs ---
 
@@ -311,7 +315,7 @@
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
-        if not self.ways[be].open(favour) or (fill and not self.link.open(favour)):
+        if not self.ways[be].open(favour, now) or (fill and not self.link.open(favour, now)):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
             return False
@@ -404,7 +408,7 @@
         if outcome not in ("cancelled", "unsent", "miss"):
             late = outcome != "done" or (self._sized(req) and took > vhost.aim(req.work))
             self.late += LEARN * (late - self.late)
-            (self.link if filled else self.ways[be]).heed(late, now, vhost.target)
+            (self.link if filled else self.ways[be]).heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
             if req.obj is not None:
