--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -402,11 +402,11 @@
                trial: Req | None) -> None:
         """Judge a cache and its source by how a dispatch ended."""
         now, vhost = self.host.now(), self.vhosts[req.vhost]
-        if outcome in ("done", "miss", "full"):
-            self._clear(be)
+        late = outcome != "done" or (self._sized(req) and took > vhost.aim(req.work))
+        if outcome in ("miss", "full") or (outcome == "done" and not (be.suspect and late)):
+            self._clear(be)  # but an answer far too late brings back no suspect
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
-            late = outcome != "done" or (self._sized(req) and took > vhost.aim(req.work))
             self.late += LEARN * (late - self.late)
             (self.link if filled else self.ways[be]).heed(late, now, took, vhost.target)
         if outcome == "done":
@@ -464,16 +464,17 @@
     def _overdue(self, req: Req) -> None:
         """A dispatch takes far longer than its like."""
         now, be, source, aim = self.host.now(), req.be, req.source, self.vhosts[req.vhost].aim(req.work)
-        if be.heard < req.sent and not (req.fill and source.late > TOLERATED):
-            self._strike(be, now)  # nothing since, and no slow source explains it: the cache
-            self._recall(req)
-            return
         again = now >= req.sent + 2 * aim
-        if req.fill and source is not be and again != self._sized(req):
+        if be.heard < req.sent and not (req.fill and source.late > TOLERATED):
+            if again or self._sized(req):  # nothing since, and no slow source explains it: the cache
+                self._strike(be, now)
+            if again and self._sized(req):
+                return self._recall(req)
+        elif req.fill and source is not be and again != self._sized(req):
             self._doubt(source, now)  # the cache answers others: its source
         if not again:
             self._push(req.sent + 2 * aim, req, req.tries - 1)
-        elif not req.fill:  # a likely hit whose answer is lost, though the cache answers others
+        elif not req.fill and self._sized(req):  # a likely hit whose answer is lost, though the cache answers others
             self._recall(req)
 
     @staticmethod
