--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -9,6 +9,7 @@
 
 import heapq
 import math
+import zlib
 from collections.abc import Iterable, Mapping
 from hashlib import blake2b
 from typing import Any
@@ -19,6 +20,8 @@
 # Tuned values; all are dimensionless but SWEEP, which is only how often old notes are dropped.
 FLOOR = 6  # ordinary objects that one gateway may always have in flight at their home; the bound bites above
 SPREAD = 2.0  # and there at this multiple of the pool's mean in flight per weight (bounded loads)
+EVEN = 1.25  # and what it had there lately, at this multiple of the mean: means bear less than moments
+MEAN_OVER = 10  # lately: so many first-byte targets
 TRIES = 3  # dispatches a req gets; more would feed a crowd more than they serve
 TABLE = 1 << 15  # parts remembered; one pushed out of the table merely counts as new
 RENEW_FROM = 0.8  # a copy is renewed in the last fifth of its fresh time: a mark is due again from there
@@ -62,7 +65,14 @@
 
     def __init__(self, limit: float, least: float) -> None:
         self.limit, self.least, self.count, self.late, self.calm = limit, least, 0, 0.0, 0
-        self.ended = self.took = 0
+        self.ended = self.took = self.at = 0
+        self.mean = 0.0
+
+    def out(self, change: int, now: int, span: float) -> float:
+        """Count dispatches out; returns their mean number over about the last span."""
+        self.mean += (self.count - self.mean) * -math.expm1((self.at - now) / span)
+        self.at, self.count = now, self.count + change
+        return self.mean
 
     def open(self, favour: float, now: int) -> bool:
         """May one more go out, whose value for its work is so many times the usual? Below one at a time the
@@ -100,6 +110,7 @@
         self.cold_parent = family["parent_floor"], family["parent_warms_in"] + 1, family["parent_breaks_at"]
         self.tick, self.fall = settings["granularity"], rules["fall"]
         self.max_dispatches, self.can_cancel = self.limits["max_dispatches"], self.limits["cancel"]
+        self.span = MEAN_OVER * max(vhost.target for vhost in self.vhosts)
         self.known: dict[str, Be] = {}
         self.caches: list[Be] = []
         self.parents: list[Be] = []
@@ -239,9 +250,10 @@
         if req.tries >= min(TRIES, self.max_dispatches) or now >= req.until - self.tick:
             return self._answer(req)
         passed = vhost.uncacheable or req.write
-        homes = self._order(self.caches, f"{req.key} {req.part}")
+        place = f"{req.key} {req.part}"
+        homes = self._order(self.caches, place)
         parents = self._order(self.parents, req.key)
-        fitting = [be for be in parents if self._fit(be, self.parents)]
+        fitting = [be for be in parents if self._fit(be, self.parents, req.key)]
         sources = self.origins if passed else fitting + self.origins
         sources = [be for be in sources if be not in req.avoid] or self.origins
         tried = [be for be in homes if be not in req.avoid]
@@ -250,7 +262,7 @@
             # a suspect parent's trial goes straight to it: through a cache a hit would pass for its answer
             ways = [(be, [be]) for be in parents[:1] if be.suspect and be not in req.avoid]
         sources = [be for be in sources if not (self.direct and be.suspect)]
-        ways += [(be, sources) for be in tried if self._fit(be, self.caches)]
+        ways += [(be, sources) for be in tried if self._fit(be, self.caches, place)]
         ways += [(be, sources) for be in tried]
         if self.direct and (passed or all(be.suspect or not self._room(be, vhost.work) for be in tried)):
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
@@ -273,11 +285,21 @@
             return -math.log((drawn + 1) / 2**64) / be.size
         return sorted(pool, key=draw)
 
-    def _fit(self, be: Be, pool: list[Be]) -> bool:
-        """The bound: too much of this gateway's own in flight there?"""
+    def _fit(self, be: Be, pool: list[Be], key: str) -> bool:
+        """The bound: too much of this gateway's own in flight there, now or, by its part of the be, lately?
+        Lately, objects leave in an order of their own, so that all gateways send the same ones on."""
         mean = sum(peer.load for peer in pool) / sum(peer.size for peer in pool)
-        floor = FLOOR if be.kind == self.parent_kind else max(1.0, GENEROUS * self._part(be))
-        return be.load <= max(floor * self.unit, SPREAD * mean * be.size)
+        if be.load > max(FLOOR * self.unit, SPREAD * mean * be.size):
+            return False
+        if be.kind == self.parent_kind:
+            return True
+        now, part = self.host.now(), self._part(be)
+        lately = self.ways[be].out(0, now, self.span)
+        if lately <= part:
+            return True
+        mean = sum(self.ways[peer].out(0, now, self.span) for peer in pool) / sum(peer.size for peer in pool)
+        turn = 0.5 + zlib.crc32(f"{key} {be.name}".encode()) / 2**32
+        return lately <= max(GENEROUS * part, EVEN * mean * be.size) * turn
 
     def _age(self, req: Req) -> int:
         """The oldest copy that will do (0: any): fresh or in the grace, never older than a known purge."""
@@ -336,7 +358,7 @@
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
         req.fill, req.renew = fill, renew
-        self.ways[be].count += 1
+        self.ways[be].out(1, now, self.span)
         self.link.count += fill
         self._push(now + vhost.aim(req.work), req, req.tries - 1)
         join = obj is not None and self.joins and req.rejoin
@@ -377,7 +399,7 @@
             peer.reqs.pop(req, None)
             if peer.trial is req:
                 peer.trial = None
-        self.ways[be].count -= 1
+        self.ways[be].out(-1, self.host.now(), self.span)
         self.link.count -= req.fill
         req.out = req.flowing = False
         return source
