Ask caches for their load where checks tell what they hold; pass over and spare the crowded

Guards against any unevenness of caches, also slow ones; harms where reports are stale and all gateways turn together.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -20,11 +20,12 @@
 # Tuned values; all are dimensionless but SWEEP, which is only how often old notes are dropped.
 FLOOR = 6  # ordinary objects that one gateway may always have in flight at their home; the bound bites above
 SPREAD = 2.0  # and there at this multiple of the pool's mean in flight per weight (bounded loads)
-EVEN = 1.25  # and what it had there lately, at this multiple of the mean: means bear less than moments
-MEAN_OVER = 10  # lately: so many first-byte targets
+EVEN = 1.25  # a crowded cache is passed over above this multiple of its location's mean crowd
+ASK = 3  # one health check to so many reqs at most: load reports must cost little beside what they save
 TRIES = 3  # dispatches a req gets; more would feed a crowd more than they serve
 TABLE = 1 << 15  # parts remembered; one pushed out of the table merely counts as new
 RENEW_FROM = 0.8  # a copy is renewed in the last fifth of its fresh time: a mark is due again from there
+BUSY = 0.85  # a link so full is crowded: below, what a cache holds may wait for fills
 MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and clients spread unevenly
 BRISK = 0.8  # nor is it sent more than this part of what it can do now: beyond, all it answers is late
 LEARN = 1 / 16  # weight of one observation in a moving mean: some twenty make it new
@@ -65,14 +66,7 @@
 
     def __init__(self, limit: float, least: float) -> None:
         self.limit, self.least, self.count, self.late, self.calm = limit, least, 0, 0.0, 0
-        self.ended = self.took = self.at = 0
-        self.mean = 0.0
-
-    def out(self, change: int, now: int, span: float) -> float:
-        """Count dispatches out; returns their mean number over about the last span."""
-        self.mean += (self.count - self.mean) * -math.expm1((self.at - now) / span)
-        self.at, self.count = now, self.count + change
-        return self.mean
+        self.ended = self.took = 0
 
     def open(self, favour: float, now: int) -> bool:
         """May one more go out, whose value for its work is so many times the usual? Below one at a time the
@@ -110,7 +104,6 @@
         self.cold_parent = family["parent_floor"], family["parent_warms_in"] + 1, family["parent_breaks_at"]
         self.tick, self.fall = settings["granularity"], rules["fall"]
         self.max_dispatches, self.can_cancel = self.limits["max_dispatches"], self.limits["cancel"]
-        self.span = MEAN_OVER * max(vhost.target for vhost in self.vhosts)
         self.known: dict[str, Be] = {}
         self.caches: list[Be] = []
         self.parents: list[Be] = []
@@ -124,6 +117,8 @@
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
         self.pushed = 0
         self.armed: int | None = None
+        self.asks = self.limits["probes"] and {"inflight", "util"} <= set(settings["stats"]["names"])
+        self.names, self.arrivals = settings["stats"]["names"], 0
         self.late = 0.1  # part of answers late or lost, anywhere
         self.value = self.work = 0.0  # mean value and mean sending time of a req
         self.unit = 0.0  # mean bytes of a req, or 1 where sizes are unknown
@@ -166,6 +161,12 @@
         self.unit += LEARN * (req.units - self.unit) if self.unit else req.units
         self.value += LEARN * (vhost.value - self.value)
         self._push(req.until - self.tick, req, -1)
+        self.arrivals += 1
+        if self.asks and self.caches and self.arrivals % ASK == 0:
+            be = self.caches[self.arrivals // ASK % len(self.caches)]
+            if self.host.now() >= be.asked + 2 * vhost.target:
+                be.asked = self.host.now()
+                self.host.check(be)
         if not (vhost.uncacheable or req.write):
             place = (req.key, req.part)
             req.obj = self.objs.pop(place, None) or Obj()
@@ -217,7 +218,18 @@
         self.purges[key or group] = max(at, self.purges.get(key or group, at))
 
     def checked(self, be: Be, took: int, outcome: str, load: list[float]) -> None:
-        """A health check is answered."""
+        """A health check is answered: how crowded is it? Where it does not send all the time, not at all; else
+        by what it holds over what it held for a part of its time. Clears nobody: it may answer checks only."""
+        told = dict(zip(self.names, load or [], strict=False))
+        if outcome in ("full", "timeout"):  # no room even for a check
+            be.crowd += (2 * GENEROUS - be.crowd) / 2
+        if outcome != "done" or "inflight" not in told:
+            return
+        busy = max(told["util"], 0.01)
+        if 0.4 < busy < BUSY:
+            be.holds += (told["inflight"] / busy - be.holds) * (LEARN if be.holds else 1)
+        crowd = told["inflight"] / be.holds if be.holds and busy >= BUSY else busy
+        be.crowd += (crowd - be.crowd) / 2
 
     def heard(self, peer: int, text: str) -> None:
         """A peer has sent a message."""
@@ -250,10 +262,9 @@
         if req.tries >= min(TRIES, self.max_dispatches) or now >= req.until - self.tick:
             return self._answer(req)
         passed = vhost.uncacheable or req.write
-        place = f"{req.key} {req.part}"
-        homes = self._order(self.caches, place)
+        homes = self._order(self.caches, f"{req.key} {req.part}")
         parents = self._order(self.parents, req.key)
-        fitting = [be for be in parents if self._fit(be, self.parents, req.key)]
+        fitting = [be for be in parents if self._fit(be, self.parents, req)]
         sources = self.origins if passed else fitting + self.origins
         sources = [be for be in sources if be not in req.avoid] or self.origins
         tried = [be for be in homes if be not in req.avoid]
@@ -262,7 +273,7 @@
             # a suspect parent's trial goes straight to it: through a cache a hit would pass for its answer
             ways = [(be, [be]) for be in parents[:1] if be.suspect and be not in req.avoid]
         sources = [be for be in sources if not (self.direct and be.suspect)]
-        ways += [(be, sources) for be in tried if self._fit(be, self.caches, place)]
+        ways += [(be, sources) for be in tried if self._fit(be, self.caches, req)]
         ways += [(be, sources) for be in tried]
         if self.direct and (passed or all(be.suspect or not self._room(be, vhost.work) for be in tried)):
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
@@ -285,21 +296,18 @@
             return -math.log((drawn + 1) / 2**64) / be.size
         return sorted(pool, key=draw)
 
-    def _fit(self, be: Be, pool: list[Be], key: str) -> bool:
-        """The bound: too much of this gateway's own in flight there, now or, by its part of the be, lately?
-        Lately, objects leave in an order of their own, so that all gateways send the same ones on."""
-        mean = sum(peer.load for peer in pool) / sum(peer.size for peer in pool)
-        if be.load > max(FLOOR * self.unit, SPREAD * mean * be.size):
+    @staticmethod
+    def _turn(req: Req, be: Be) -> float:
+        """An object's place, 0.5 to 1.5, in the order in which objects leave a crowded cache."""
+        return 0.5 + zlib.crc32(f"{req.key} {req.part} {be.name}".encode()) / 2**32
+
+    def _fit(self, be: Be, pool: list[Be], req: Req) -> bool:
+        """The bound: too much of this gateway's own in flight there, or the cache known to be crowded?"""
+        if be.crowd > 0.5 and be.crowd > self._turn(req, be) * max(
+                GENEROUS, EVEN * sum(peer.crowd for peer in pool) / len(pool)):
             return False
-        if be.kind == self.parent_kind:
-            return True
-        now, part = self.host.now(), self._part(be)
-        lately = self.ways[be].out(0, now, self.span)
-        if lately <= part:
-            return True
-        mean = sum(self.ways[peer].out(0, now, self.span) for peer in pool) / sum(peer.size for peer in pool)
-        turn = 0.5 + zlib.crc32(f"{key} {be.name}".encode()) / 2**32
-        return lately <= max(GENEROUS * part, EVEN * mean * be.size) * turn
+        mean = sum(peer.load for peer in pool) / sum(peer.size for peer in pool)
+        return be.load <= max(FLOOR * self.unit, SPREAD * mean * be.size)
 
     def _age(self, req: Req) -> int:
         """The oldest copy that will do (0: any): fresh or in the grace, never older than a known purge."""
@@ -337,6 +345,8 @@
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
+        if be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be):
+            return False
         if not self.ways[be].open(favour, now) or (fill and not self.link.open(favour, now)):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
@@ -358,7 +368,7 @@
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
         req.fill, req.renew = fill, renew
-        self.ways[be].out(1, now, self.span)
+        self.ways[be].count += 1
         self.link.count += fill
         self._push(now + vhost.aim(req.work), req, req.tries - 1)
         join = obj is not None and self.joins and req.rejoin
@@ -399,7 +409,7 @@
             peer.reqs.pop(req, None)
             if peer.trial is req:
                 peer.trial = None
-        self.ways[be].out(-1, self.host.now(), self.span)
+        self.ways[be].count -= 1
         self.link.count -= req.fill
         req.out = req.flowing = False
         return source
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -20,6 +20,9 @@
     size: float = 1.0
     started: int = 0
     load: float = 0.0  # bytes (or reqs) of this gateway's dispatches in flight
+    crowd: float = 0.0  # what it holds over what it can send at full pace, by its own load reports
+    holds: float = 0.0  # what it held for each part of its time busy: so much fits
+    asked: int = 0  # when its load was last asked for
     heard: int = 0  # when it last answered
     strikes: int = 0  # symptoms since then
     late: float = 0.0  # part of the fills asked of it that came late
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,14 +14,14 @@
 def settings(vhosts=None, fresh=(0,), grace=(0,), uncacheable=(False,), **more):
     base = {
         "vhosts": vhosts or [vhost()], "zone": 0, "gateways": 2, "granularity": 20, "discovery": "automatic",
-        "weight_source": "rough",
+        "weight_source": "rough", "slot_no": 1, "stats": {"names": ["inflight", "util"]},
         "family": {"zone_gateways": [2], "parent_kind": 1, "source_kind": 2, "pace_kb_per_s": 4000.0,
                    "feed_kb_per_s": [40000.0], "pass_through_ok": True, "joins": True, "purge_done": 6 * SEC,
                    "parent_floor": 0.06, "parent_warms_in": 20 * SEC, "parent_breaks_at": 2.0,
                    "fresh": fresh, "grace": grace, "uncacheable": uncacheable},
         "rules": {"start_capacity": 0.2, "cold": 15 * SEC, "tip_multiple": 2.0, "fall": SEC,
                   "drain_grace": SEC},
-        "limits": {"max_dispatches": 6, "cancel": True, "retry_after": True, "max_retry_after": 5000},
+        "limits": {"max_dispatches": 6, "cancel": True, "retry_after": True, "probes": True, "max_retry_after": 5000},
     }
     for name, value in more.items():
         base[name] = {**base[name], **value} if isinstance(value, dict) else value
@@ -100,32 +100,32 @@
 
     def fetch(self, req, be, limit, source, rank, age, join, held_only, no_trace, renew):
         past = self.history[req]
-        self.check(not any(call is req for call, _ in self.finals), "sent after the end")
-        self.check(all(entry[4] for entry in past), "two out at once")
-        self.check(len(past) < self.config["limits"]["max_dispatches"], "too many dispatches")
-        self.check(limit > 0 and self.time + limit <= req.until, "time-out past the client's")
+        self.must(not any(call is req for call, _ in self.finals), "sent after the end")
+        self.must(all(entry[4] for entry in past), "two out at once")
+        self.must(len(past) < self.config["limits"]["max_dispatches"], "too many dispatches")
+        self.must(limit > 0 and self.time + limit <= req.until, "time-out past the client's")
         config = self.config["vhosts"][req.vhost]
         ran = [entry for entry in past if entry[4] not in ("full", "unreached", "unsent", "miss")]
         if ran and config["effect"] == "non-replayable":
-            self.check(False, "non-replayable sent again")
+            self.must(False, "non-replayable sent again")
         if ran and config["effect"] == "uniqued":
-            self.check(self.time - ran[0][3] < config["repeat_window"], "uniqued sent again too late")
-            self.check(config["repeat_group"] == "all" or be.cell == ran[0][1].cell, "uniqued left its group")
+            self.must(self.time - ran[0][3] < config["repeat_window"], "uniqued sent again too late")
+            self.must(config["repeat_group"] == "all" or be.cell == ran[0][1].cell, "uniqued left its group")
         for peer in (be, source):
             status, _, told = self.listed[peer]
-            self.check(
+            self.must(
                 status == 1 or self.time - told <= self.config["rules"]["drain_grace"],
                 "sent to a draining be",
             )
         for key, group, at in self.purges:
             if (key == req.key or (not key and group == req.group)) and self.time - at <= 6 * SEC:
-                self.check(0 < age <= max(1, self.time - at), "older than a purge")
+                self.must(0 < age <= max(1, self.time - at), "older than a purge")
         self.sends.append((self.time, req, be, source))
         past.append(
             [len(past), be, source, self.time, None, dict(rank=rank, age=age, join=join, renew=renew)]
         )
         for peer in {be, source}:
-            self.check(self.weigh(peer), f"cold {'parent' if peer in self.parents else 'cache'} pushed over")
+            self.must(self.weigh(peer), f"cold {'parent' if peer in self.parents else 'cache'} pushed over")
 
     def weigh(self, peer):
         """Rule 4: this gateway's part of what a cold be may be sent in every fall window."""
@@ -152,7 +152,7 @@
     def deny(self, req, after):
         past, config = self.history[req], self.config["vhosts"][req.vhost]
         ran = [entry for entry in past if entry[4] not in ("full", "unreached", "unsent", "miss")]
-        self.check(
+        self.must(
             not ran
             or config["effect"] == "replayable"
             or (config["effect"] == "uniqued" and config["repeat_group"] == "all"),
@@ -164,16 +164,19 @@
         self.final(req)
 
     def final(self, req):
-        self.check(not any(call is req for call, _ in self.finals), "two final answers")
-        self.check(self.time <= req.until + 80, "answered too late")
+        self.must(not any(call is req for call, _ in self.finals), "two final answers")
+        self.must(self.time <= req.until + 80, "answered too late")
         self.finals.append((req, self.time))
 
     def wake(self, at, token):
         self.wakes.append((at, token))
 
+    def check(self, be):
+        pass
+
     def log(self, text):
         pass
 
-    def check(self, held, text):
+    def must(self, held, text):
         if not held:
             self.wrong.append(text)
