--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -104,6 +104,7 @@
         self.cold_parent = family["parent_floor"], family["parent_warms_in"] + 1, family["parent_breaks_at"]
         self.tick, self.fall = settings["granularity"], rules["fall"]
         self.max_dispatches, self.can_cancel = self.limits["max_dispatches"], self.limits["cancel"]
+        self.place = settings["slot_no"] * 0.5**0.5 % 1  # spreads any row of numbers over the turns
         self.known: dict[str, Be] = {}
         self.caches: list[Be] = []
         self.parents: list[Be] = []
@@ -150,7 +151,8 @@
                        and be.kind not in (self.parent_kind, self.origin_kind)]
         for be in self.known.values():
             if be not in self.ways:
-                self.ways[be] = Limit(max(1.0, GENEROUS * self._part(be)), 1 / self.zone_gateways)
+                least = 1 / (self.zone_gateways if be in self.caches else self.gateways)
+                self.ways[be] = Limit(max(1.0, GENEROUS * self._part(be)), least)
 
     # --- reqs ---
 
@@ -218,8 +220,8 @@
         self.purges[key or group] = max(at, self.purges.get(key or group, at))
 
     def checked(self, be: Be, took: int, outcome: str, load: list[float]) -> None:
-        """A health check is answered: how crowded is it? Where it does not send all the time, not at all; else
-        by what it holds over what it held for a part of its time. Clears nobody: it may answer checks only."""
+        """A health check is answered: how crowded is it? By what it holds over what it held when partly busy;
+        not at all while it is not busy. Clears no suspect, which may answer checks alone."""
         told = dict(zip(self.names, load or [], strict=False))
         if outcome in ("full", "timeout"):  # no room even for a check
             be.crowd += (2 * GENEROUS - be.crowd) / 2
@@ -284,7 +286,9 @@
                 if self._send(req, be, source):
                     return None
         # no room for a fill: what the home holds costs the link nothing; a miss there comes back at once
-        if passed or not homes or homes[0] in req.avoid or not self._send(req, homes[0], homes[0]):
+        if passed or not homes or homes[0] in req.avoid or not (
+                any(self._send(req, homes[0], parent, True) for parent in parents[:1])
+                or self._send(req, homes[0], homes[0])):
             self._answer(req)
         return None
 
@@ -328,7 +332,7 @@
             return False
         return max(self.purges.get(req.key, 0), self.purges.get(req.group, 0)) < obj.filled
 
-    def _send(self, req: Req, be: Be, source: Be) -> bool:
+    def _send(self, req: Req, be: Be, source: Be, held_only: bool = False) -> bool:
         """The gate that every dispatch passes: the rules on effects, drains, cold starts and purges."""
         vhost, now = self.vhosts[req.vhost], self.host.now()
         if req.closed or req.out or be.status != 1 or source.status != 1:
@@ -344,10 +348,11 @@
                 return False
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
+        way = None if not fill or be is source else self.link if held_only else self.ways[source]
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
         if be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be):
             return False
-        if not self.ways[be].open(favour, now) or (fill and not self.link.open(favour, now)):
+        if not self.ways[be].open(favour, now) or (way and not way.open(favour, now)):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
             return False
@@ -367,28 +372,39 @@
                 peer.trial = req
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
-        req.fill, req.renew = fill, renew
+        req.fill, req.renew, req.way = fill, renew, way
         self.ways[be].count += 1
-        self.link.count += fill
+        if way:
+            way.count += 1
         self._push(now + vhost.aim(req.work), req, req.tries - 1)
         join = obj is not None and self.joins and req.rejoin
-        self.host.fetch(req, be, limit, source, rank, self._age(req), join, False, False, renew)
+        self.host.fetch(req, be, limit, source, rank, self._age(req), join, held_only, False, renew)
         return True
 
     def _room(self, be: Be, work: float) -> bool:
-        """Rule 4: may a be that started lately take this much work, with what all gateways send it?"""
-        while be.budget and be.budget[0][0] < self.host.now() - self.fall - self.tick:
+        """Rule 4: may a be that started lately take this much work, with what all gateways send it?
+
+        What it can do since its start is cut into turns of one large req each, dealt to its gateways in a
+        spread order; a turn is good for one fall span. So many gateways use whole turns, where a part of a
+        req each would let nobody send, and all together stay under twice BRISK in any span.
+        """
+        now, back = self.host.now(), self.fall + self.tick
+        while be.budget and be.budget[0][0] < now - back:
             be.budget.pop(0)
         if be.kind == self.origin_kind:
             return True
         parent = be.kind == self.parent_kind
         floor, warm, multiple = self.cold_parent if parent else self.cold_cache
-        age = self.host.now() - be.started
-        if not be.started or age >= warm:
+        if not be.started or now - be.started >= warm:
             return True
-        share = floor + (1 - floor) * max(0, age - self.fall) / warm
-        allowed = min(MARGIN * multiple, BRISK) * share * self._part(be) * self.fall
-        return sum(sent for _, sent in be.budget) + work <= allowed
+        turn = max(work, *(vhost.work for vhost in self.vhosts))
+        pace = min(MARGIN * multiple / 2, BRISK) * self._part(be) / turn
+
+        def turns(age: int) -> float:
+            age = max(0, age)
+            return pace * age * (floor + (1 - floor) * age / 2 / warm) + self.place
+        mine = math.floor(turns(now - be.started)) - math.floor(turns(now - be.started - back))
+        return sum(sent for _, sent in be.budget) + work <= mine * turn
 
     def _part(self, be: Be) -> float:
         """This gateway's part of what a be can carry, in transfers at full pace."""
@@ -396,7 +412,7 @@
         if self.sizes_told:
             capacity = be.size
         elif parent:  # its link is made for what the locations' links bring in
-            capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 2
+            capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 1.5
         else:  # a location's caches together send twice what its link brings in, else most reqs were fills
             capacity = 2 * self.feed[self.zone] / self.pace / max(1, len(self.caches))
         return (capacity or 1.0) / (self.gateways if parent else self.zone_gateways)
@@ -410,7 +426,8 @@
             if peer.trial is req:
                 peer.trial = None
         self.ways[be].count -= 1
-        self.link.count -= req.fill
+        if req.way:
+            req.way.count -= 1
         req.out = req.flowing = False
         return source
 
@@ -440,7 +457,8 @@
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
             self.late += LEARN * (late - self.late)
-            (self.link if filled else self.ways[be]).heed(late, now, took, vhost.target)
+            way = (req.way or self.ways[source]) if filled else self.ways[be]
+            way.heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
             if req.obj is not None:
@@ -506,7 +524,7 @@
             self._doubt(source, now)  # the cache answers others: its source
         if not again:
             self._push(req.sent + 2 * aim, req, req.tries - 1)
-        elif not req.fill and self._sized(req):  # a likely hit whose answer is lost, though the cache answers others
+        elif not req.fill and self._sized(req):  # a likely hit's answer is lost, though others come
             self._recall(req)
 
     @staticmethod
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
 
 @dataclass(eq=False, slots=True)
@@ -68,6 +69,7 @@
     sent: int = 0
     units: float = 0.0
     work: float = 0.0  # its sending time, told or guessed
+    way: Any = None  # the limit that its fill counts to
     fill: bool = False  # the dispatch out is likely to need a fill
     first_ran: int | None = None  # when the first dispatch that may have run was sent
     ran_at: Be | None = None
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -21,7 +21,8 @@
                    "fresh": fresh, "grace": grace, "uncacheable": uncacheable},
         "rules": {"start_capacity": 0.2, "cold": 15 * SEC, "tip_multiple": 2.0, "fall": SEC,
                   "drain_grace": SEC},
-        "limits": {"max_dispatches": 6, "cancel": True, "retry_after": True, "probes": True, "max_retry_after": 5000},
+        "limits": {"max_dispatches": 6, "cancel": True, "retry_after": True, "probes": True,
+                   "max_retry_after": 5000},
     }
     for name, value in more.items():
         base[name] = {**base[name], **value} if isinstance(value, dict) else value
