--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -348,7 +348,7 @@
                 return False
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
-        way = None if not fill or be is source else self.link if held_only else self.ways[source]
+        way = None if not fill else self.ways[source] if held_only else self.link
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
         if be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be):
             return False
@@ -457,7 +457,7 @@
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
             self.late += LEARN * (late - self.late)
-            way = (req.way or self.ways[source]) if filled else self.ways[be]
+            way = (req.way or self.link) if filled else self.ways[be]
             way.heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
