--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -105,13 +105,11 @@
         self.tick, self.fall = settings["granularity"], rules["fall"]
         self.max_dispatches, self.can_cancel = self.limits["max_dispatches"], self.limits["cancel"]
         self.place = settings["slot_no"] * 0.5**0.5 % 1  # spreads any row of numbers over the turns
-        self.known: dict[str, Be] = {}
+        self.known: list[Be] = []  # what this gateway may send to, or still has something out at
         self.caches: list[Be] = []
         self.parents: list[Be] = []
         self.origins: list[Be] = []
-        self.ways: dict[Be, Limit] = {}
-        # the location's link in, for reqs that are likely to need a fill
-        feed = self.feed[self.zone] / self.pace or FLOOR
+        feed = self.feed[self.zone] / self.pace or FLOOR  # the location's link in, for likely fills
         self.link = Limit(max(1.0, GENEROUS * feed / self.zone_gateways), 1 / self.gateways)
         self.objs: dict[tuple[str, int], Obj] = {}
         self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
@@ -123,9 +121,9 @@
         self.late = 0.1  # part of answers late or lost, anywhere
         self.value = self.work = 0.0  # mean value and mean sending time of a req
         self.unit = 0.0  # mean bytes of a req, or 1 where sizes are unknown
-        if settings["discovery"] == "subscribe":
-            host.subscribe(True)
         self.subscribes = settings["discovery"] == "subscribe"
+        if self.subscribes:
+            host.subscribe(True)
         host.wake(host.now() + SWEEP, "sweep")
 
     # --- the list ---
@@ -137,22 +135,24 @@
                 self.host.wake(self.host.now() + SWEEP, "subscribe")
             return
         if mode != "delta":
-            for be in self.known.values():
+            for be in self.known:
                 be.status = 0
         for be, be.zone, be.kind, be.cell, be.status, size, started in entries:
             be.size = size if size > 0 else 1.0
             if started > be.started:
-                be.started, be.suspect, be.strikes, be.backoff = started, False, 0, 0
-            self.known[be.name] = be
-        ready = sorted((be for be in self.known.values() if be.status == 1), key=lambda be: be.name)
+                be.started, be.suspect, be.strikes, be.backoff, be.crowd = started, False, 0, 0, 0.0
+            if be.zone == self.zone or be.kind in (self.parent_kind, self.origin_kind):
+                self.known.append(be)
+        self.known = sorted({be.name: be for be in self.known if be.status or be.reqs}.values(),
+                            key=lambda be: be.name)
+        ready = [be for be in self.known if be.status == 1]
         self.parents = [be for be in ready if be.kind == self.parent_kind]
         self.origins = [be for be in ready if be.kind == self.origin_kind]
-        self.caches = [be for be in ready if be.zone == self.zone
-                       and be.kind not in (self.parent_kind, self.origin_kind)]
-        for be in self.known.values():
-            if be not in self.ways:
+        self.caches = [be for be in ready if be not in self.parents and be not in self.origins]
+        for be in ready:
+            if be.way is None:
                 least = 1 / (self.zone_gateways if be in self.caches else self.gateways)
-                self.ways[be] = Limit(max(1.0, GENEROUS * self._part(be)), least)
+                be.way = Limit(max(1.0, GENEROUS * self._part(be)), least)
 
     # --- reqs ---
 
@@ -348,11 +348,11 @@
                 return False
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
-        way = None if not fill else self.ways[source] if held_only else self.link
+        way = None if not fill else source.way if held_only else self.link
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
         if be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be):
             return False
-        if not self.ways[be].open(favour, now) or (way and not way.open(favour, now)):
+        if not be.way.open(favour, now) or (way and not way.open(favour, now)):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
             return False
@@ -373,7 +373,7 @@
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
         req.fill, req.renew, req.way = fill, renew, way
-        self.ways[be].count += 1
+        be.way.count += 1
         if way:
             way.count += 1
         self._push(now + vhost.aim(req.work), req, req.tries - 1)
@@ -425,7 +425,7 @@
             peer.reqs.pop(req, None)
             if peer.trial is req:
                 peer.trial = None
-        self.ways[be].count -= 1
+        be.way.count -= 1
         if req.way:
             req.way.count -= 1
         req.out = req.flowing = False
@@ -457,7 +457,7 @@
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
             self.late += LEARN * (late - self.late)
-            way = (req.way or self.link) if filled else self.ways[be]
+            way = (req.way or self.link) if filled else be.way
             way.heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
--- a/lilacloft/drill/wire.py
+++ b/lilacloft/drill/wire.py
@@ -207,6 +207,7 @@
                 )
             )
         self.router.listed(MODES[mode], listed)
+        self.bes = {name: be for name, be in self.bes.items() if be.status or be.reqs}
 
     def ingress(self, values: list[Any]) -> None:
         name = field(values, 0, str, "id")
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -20,6 +20,7 @@
     status: int = 0
     size: float = 1.0
     started: int = 0
+    way: Any = None  # the limit on what may be out there
     load: float = 0.0  # bytes (or reqs) of this gateway's dispatches in flight
     crowd: float = 0.0  # what it holds over what it can send at full pace, by its own load reports
     holds: float = 0.0  # what it held for each part of its time busy: so much fits
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -75,7 +75,7 @@
                         ("return self._recall(req)", "return self._walk(req)")],
     "sent to a draining be": [
         ("be.status != 1 or source.status != 1", "False"),
-        ("if be.status == 1)", "if be.status)"),
+        ("if be.status == 1]", "if be.status]"),
     ],
     "non-replayable sent again": [
         ("if req.first_ran is not None and vhost.effect", "if False and vhost.effect")
