--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -49,6 +49,7 @@
         self.fresh, self.grace, self.uncacheable = (
             (family.get(name) or [0] * (place + 1))[place] for name in ("fresh", "grace", "uncacheable"))
         self.work = self.target / 2  # mean sending time; until one is seen, what a target must leave room for
+        self.usual = self.work  # the same without late answers, which may be but crowded: untold sizes go by it
 
     def aim(self, work: float) -> int:
         """The span within which an answer earns the full value."""
@@ -176,7 +177,7 @@
             if len(self.objs) > TABLE:
                 del self.objs[next(iter(self.objs))]
             req.obj.seen += 1
-        req.work = req.kbytes / self.pace or (req.obj.work if req.obj else 0.0) or vhost.work
+        req.work = req.kbytes / self.pace or (req.obj.work if req.obj else 0.0) or vhost.usual
         self.work += LEARN * (req.work - self.work)
         self._walk(req)
 
@@ -451,7 +452,7 @@
                trial: Req | None) -> None:
         """Judge a cache and its source by how a dispatch ended."""
         now, vhost = self.host.now(), self.vhosts[req.vhost]
-        late = outcome != "done" or (self._sized(req) and took > vhost.aim(req.work))
+        late = outcome != "done" or took > vhost.aim(req.work)
         if outcome in ("miss", "full") or (outcome == "done" and not (be.suspect and late)):
             self._clear(be)  # but an answer far too late brings back no suspect
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
@@ -461,6 +462,7 @@
             way.heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
+            vhost.usual += 0 if late else LEARN * (took - vhost.usual)
             if req.obj is not None:
                 if req.fill or req.renew or req.obj.home is not be:
                     req.obj.home, req.obj.filled = be, req.sent
