--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -200,9 +200,9 @@
         if outcome in RAN and req.first_ran is None:
             req.first_ran, req.ran_at = req.sent, be
         lost = outcome == "cancelled" and not be.suspect and be.heard >= req.sent  # it answers others
-        if note not in (6, 7, 8, 10) and not lost:
+        if note not in (6, 7, 8, 10) and not lost and not (req.asked and outcome == "miss"):
             req.avoid.append(be)
-        if note != 9 and source is not be:
+        if note != 9 and source is not be and not (req.asked and outcome == "miss"):
             req.avoid.append(source)
         if outcome in RAN:
             req.rejoin = False  # what just failed may be the fill itself
@@ -282,14 +282,18 @@
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
             ways = over + ways if passed else ways + over
+        asks = bool(homes) and not (passed or req.asked or homes[0] in req.avoid)
+        # fills come late: what the parent holds needs no origin; a miss there comes back at once
+        first = asks and bool(parents) and self.link.late > TOLERATED and not self._held(req, homes[0])
+        if first and self._send(req, homes[0], parents[0], True):
+            return None
         for be, fills in ways:
             for source in fills:
                 if self._send(req, be, source):
                     return None
-        # no room for a fill: what the home holds costs the link nothing; a miss there comes back at once
-        if passed or not homes or homes[0] in req.avoid or not (
-                any(self._send(req, homes[0], parent, True) for parent in parents[:1])
-                or self._send(req, homes[0], homes[0])):
+        # no room for a fill: nor does what is held need any
+        if not asks or not (any(self._send(req, homes[0], parent, True) for parent in parents[:1])
+                            or self._send(req, homes[0], homes[0])):
             self._answer(req)
         return None
 
@@ -360,7 +364,7 @@
         obj, renew, rank = req.obj, False, 0
         if obj is not None:
             rank = 1 if obj.seen < 2 else 2
-            renew = not look and vhost.fresh > 0 and (
+            renew = not look and not held_only and vhost.fresh > 0 and (
                 obj.marked is None or now - obj.marked >= RENEW_FROM * vhost.fresh)
             if renew:
                 obj.marked = now
@@ -374,6 +378,7 @@
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
         req.fill, req.renew, req.way = fill, renew, way
+        req.asked = held_only or look
         be.way.count += 1
         if way:
             way.count += 1
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -70,6 +70,7 @@
     sent: int = 0
     units: float = 0.0
     work: float = 0.0  # its sending time, told or guessed
+    asked: bool = False  # the last dispatch asked for what is held only
     way: Any = None  # the limit that its fill counts to
     fill: bool = False  # the dispatch out is likely to need a fill
     first_ran: int | None = None  # when the first dispatch that may have run was sent
