--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -26,7 +26,7 @@
 TABLE = 1 << 15  # parts remembered; one pushed out of the table merely counts as new
 RENEW_FROM = 0.8  # a copy is renewed in the last fifth of its fresh time: a mark is due again from there
 BUSY = 0.85  # a link so full is crowded: below, what a cache holds may wait for fills
-MARGIN = 0.6  # part of a cold be's budget that is used: sending times vary, and clients spread unevenly
+MARGIN = 0.8  # part of a cold be's budget that is used: sending times vary, and clients spread unevenly
 BRISK = 0.8  # nor is it sent more than this part of what it can do now: beyond, all it answers is late
 LEARN = 1 / 16  # weight of one observation in a moving mean: some twenty make it new
 CUT = 0.7  # what a limit is cut to when too many answers come late; half would overshoot, as news lag behind
@@ -200,9 +200,9 @@
         if outcome in RAN and req.first_ran is None:
             req.first_ran, req.ran_at = req.sent, be
         lost = outcome == "cancelled" and not be.suspect and be.heard >= req.sent  # it answers others
-        if note not in (6, 7, 8, 10) and not lost and not (req.asked and outcome == "miss"):
+        if note not in (6, 7, 8, 10) and not lost:
             req.avoid.append(be)
-        if note != 9 and source is not be and not (req.asked and outcome == "miss"):
+        if note != 9 and source is not be:
             req.avoid.append(source)
         if outcome in RAN:
             req.rejoin = False  # what just failed may be the fill itself
@@ -267,6 +267,7 @@
         passed = vhost.uncacheable or req.write
         homes = self._order(self.caches, f"{req.key} {req.part}")
         parents = self._order(self.parents, req.key)
+        req.parent = parents[0] if parents else None
         fitting = [be for be in parents if self._fit(be, self.parents, req)]
         sources = self.origins if passed else fitting + self.origins
         sources = [be for be in sources if be not in req.avoid] or self.origins
@@ -282,18 +283,14 @@
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
             ways = over + ways if passed else ways + over
-        asks = bool(homes) and not (passed or req.asked or homes[0] in req.avoid)
-        # fills come late: what the parent holds needs no origin; a miss there comes back at once
-        first = asks and bool(parents) and self.link.late > TOLERATED and not self._held(req, homes[0])
-        if first and self._send(req, homes[0], parents[0], True):
-            return None
         for be, fills in ways:
             for source in fills:
                 if self._send(req, be, source):
                     return None
-        # no room for a fill: nor does what is held need any
-        if not asks or not (any(self._send(req, homes[0], parent, True) for parent in parents[:1])
-                            or self._send(req, homes[0], homes[0])):
+        # no room for a fill: what the home holds costs the link nothing; a miss there comes back at once
+        if passed or not homes or homes[0] in req.avoid or not (
+                any(self._send(req, homes[0], parent, True) for parent in parents[:1])
+                or self._send(req, homes[0], homes[0])):
             self._answer(req)
         return None
 
@@ -353,11 +350,13 @@
                 return False
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
-        way = None if not fill else source.way if held_only else self.link
+        ways = [be.way] + [source.way] * (fill and source is not be) + [self.link] * (fill and not held_only)
+        # an object's own parent has no limit but the link's: a late origin must not spread its fills
+        meets = [be.way] + ways[1:] if held_only or source is not req.parent else [be.way] + ways[2:]
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
         if be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be):
             return False
-        if not be.way.open(favour, now) or (way and not way.open(favour, now)):
+        if not all(way.open(favour, now) for way in meets):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
             return False
@@ -377,10 +376,8 @@
                 peer.trial = req
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
-        req.fill, req.renew, req.way = fill, renew, way
-        req.asked = held_only or look
-        be.way.count += 1
-        if way:
+        req.fill, req.renew, req.ways = fill, renew, ways
+        for way in ways:
             way.count += 1
         self._push(now + vhost.aim(req.work), req, req.tries - 1)
         join = obj is not None and self.joins and req.rejoin
@@ -418,7 +415,7 @@
         if self.sizes_told:
             capacity = be.size
         elif parent:  # its link is made for what the locations' links bring in
-            capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 1.5
+            capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 1.3
         else:  # a location's caches together send twice what its link brings in, else most reqs were fills
             capacity = 2 * self.feed[self.zone] / self.pace / max(1, len(self.caches))
         return (capacity or 1.0) / (self.gateways if parent else self.zone_gateways)
@@ -431,9 +428,8 @@
             peer.reqs.pop(req, None)
             if peer.trial is req:
                 peer.trial = None
-        be.way.count -= 1
-        if req.way:
-            req.way.count -= 1
+        for way in req.ways:
+            way.count -= 1
         req.out = req.flowing = False
         return source
 
@@ -463,8 +459,8 @@
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
             self.late += LEARN * (late - self.late)
-            way = (req.way or self.link) if filled else be.way
-            way.heed(late, now, took, vhost.target)
+            for way in (req.ways[1:] or [self.link]) if filled else [be.way]:
+                way.heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
             vhost.usual += 0 if late else LEARN * (took - vhost.usual)
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -70,8 +70,8 @@
     sent: int = 0
     units: float = 0.0
     work: float = 0.0  # its sending time, told or guessed
-    asked: bool = False  # the last dispatch asked for what is held only
-    way: Any = None  # the limit that its fill counts to
+    ways: list[Any] = field(default_factory=list)  # the limits that its dispatch counts to: cache, source, link
+    parent: Be | None = None  # its parent in hash order
     fill: bool = False  # the dispatch out is likely to need a fill
     first_ran: int | None = None  # when the first dispatch that may have run was sent
     ran_at: Be | None = None
