--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -49,7 +49,7 @@
         self.fresh, self.grace, self.uncacheable = (
             (family.get(name) or [0] * (place + 1))[place] for name in ("fresh", "grace", "uncacheable"))
         self.work = self.target / 2  # mean sending time; until one is seen, what a target must leave room for
-        self.usual = self.work  # the same without late answers, which may be but crowded: untold sizes go by it
+        self.usual = self.work  # without late answers, which may be but crowded: for untold sizes
 
     def aim(self, work: float) -> int:
         """The span within which an answer earns the full value."""
@@ -59,11 +59,9 @@
 class Limit:
     """How many dispatches of this gateway may be out at once on a way, as learned from what comes late.
 
-    Guards against crowding from any cause (jumps in traffic, retries, a slow origin, a full link, lost
-    caches): work that could only be late is refused early and leaves room for the rest. Harms where answers
-    are late for a reason that fewer dispatches do not cure; it then falls to one at a time, and grows back
-    with the first good answers.
-    """
+    Guards against crowding from any cause (jumps, retries, slow origins, full links, lost caches): work that
+    could only be late is refused early. Harms where answers are late for a reason that fewer dispatches do
+    not cure; it then falls below one at a time, and grows back with the first good answers."""
 
     def __init__(self, limit: float, least: float) -> None:
         self.limit, self.least, self.count, self.late, self.calm = limit, least, 0, 0.0, 0
@@ -107,25 +105,20 @@
         self.max_dispatches, self.can_cancel = self.limits["max_dispatches"], self.limits["cancel"]
         self.place = settings["slot_no"] * 0.5**0.5 % 1  # spreads any row of numbers over the turns
         self.known: list[Be] = []  # what this gateway may send to, or still has something out at
-        self.caches: list[Be] = []
-        self.parents: list[Be] = []
-        self.origins: list[Be] = []
+        self.caches = self.parents = self.origins = list[Be]()
         feed = self.feed[self.zone] / self.pace or FLOOR  # the location's link in, for likely fills
         self.link = Limit(max(1.0, GENEROUS * feed / self.zone_gateways), 1 / self.gateways)
         self.objs: dict[tuple[str, int], Obj] = {}
         self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
-        self.pushed = 0
-        self.armed: int | None = None
+        self.pushed, self.armed = 0, math.inf  # how many so far; when the next wake comes
         self.asks = self.limits["probes"] and {"inflight", "util"} <= set(settings["stats"]["names"])
         self.names, self.arrivals = settings["stats"]["names"], 0
         self.late = 0.1  # part of answers late or lost, anywhere
-        self.value = self.work = 0.0  # mean value and mean sending time of a req
-        self.unit = 0.0  # mean bytes of a req, or 1 where sizes are unknown
+        self.value = self.work = self.unit = 0.0  # of a mean req: value, sending time, bytes (1 where untold)
         self.subscribes = settings["discovery"] == "subscribe"
-        if self.subscribes:
-            host.subscribe(True)
-        host.wake(host.now() + SWEEP, "sweep")
+        for token in ["subscribe"] * self.subscribes + ["sweep"]:
+            self.woke(token)
 
     # --- the list ---
 
@@ -135,9 +128,8 @@
             if self.subscribes:
                 self.host.wake(self.host.now() + SWEEP, "subscribe")
             return
-        if mode != "delta":
-            for be in self.known:
-                be.status = 0
+        for be in self.known:
+            be.status = be.status if mode == "delta" else 0
         for be, be.zone, be.kind, be.cell, be.status, size, started in entries:
             be.size = size if size > 0 else 1.0
             if started > be.started:
@@ -224,14 +216,13 @@
         """A health check is answered: how crowded is it? By what it holds over what it held when partly busy;
         not at all while it is not busy. Clears no suspect, which may answer checks alone."""
         told = dict(zip(self.names, load or [], strict=False))
-        if outcome in ("full", "timeout"):  # no room even for a check
-            be.crowd += (2 * GENEROUS - be.crowd) / 2
-        if outcome != "done" or "inflight" not in told:
-            return
-        busy = max(told["util"], 0.01)
-        if 0.4 < busy < BUSY:
-            be.holds += (told["inflight"] / busy - be.holds) * (LEARN if be.holds else 1)
-        crowd = told["inflight"] / be.holds if be.holds and busy >= BUSY else busy
+        crowd = 2 * GENEROUS if outcome in ("full", "timeout") else be.crowd  # no room even for a check
+        if "inflight" in told:
+            crowd = busy = told["util"]
+            if BUSY / 2 < busy < BUSY:
+                be.holds += (told["inflight"] / busy - be.holds) * (LEARN if be.holds else 1)
+            elif busy >= BUSY and be.holds:
+                crowd = told["inflight"] / be.holds
         be.crowd += (crowd - be.crowd) / 2
 
     def heard(self, peer: int, text: str) -> None:
@@ -246,14 +237,12 @@
             self.purges = {what: at for what, at in self.purges.items() if now - at <= self.purge_done}
             self.host.wake(now + SWEEP, "sweep")
         elif token == "due":
-            self.armed = None
+            self.armed = math.inf
             while self.due and self.due[0][0] <= now:
                 _, _, req, seq = heapq.heappop(self.due)
-                if req.closed or req.flowing:
-                    continue
-                if seq < 0:
+                if seq < 0 and not req.flowing:
                     self._answer(req)
-                elif req.out and seq == req.tries - 1:
+                elif req.out and seq == req.tries - 1 and not (req.closed or req.flowing):
                     self._overdue(req)
             self._arm()
 
@@ -267,7 +256,6 @@
         passed = vhost.uncacheable or req.write
         homes = self._order(self.caches, f"{req.key} {req.part}")
         parents = self._order(self.parents, req.key)
-        req.parent = parents[0] if parents else None
         fitting = [be for be in parents if self._fit(be, self.parents, req)]
         sources = self.origins if passed else fitting + self.origins
         sources = [be for be in sources if be not in req.avoid] or self.origins
@@ -350,24 +338,19 @@
                 return False
         look = be is source and be in self.caches
         fill = not look and (be is source or not self._held(req, be))
-        ways = [be.way] + [source.way] * (fill and source is not be) + [self.link] * (fill and not held_only)
-        # an object's own parent has no limit but the link's: a late origin must not spread its fills
-        meets = [be.way] + ways[1:] if held_only or source is not req.parent else [be.way] + ways[2:]
+        way = None if not fill else source.way if held_only else self.link
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
         if be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be):
             return False
-        if not all(way.open(favour, now) for way in meets):
+        if not be.way.open(favour, now) or (way and not way.open(favour, now)):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
             return False
-        obj, renew, rank = req.obj, False, 0
-        if obj is not None:
-            rank = 1 if obj.seen < 2 else 2
-            renew = not look and not held_only and vhost.fresh > 0 and (
-                obj.marked is None or now - obj.marked >= RENEW_FROM * vhost.fresh)
-            if renew:
-                obj.marked = now
-        limit = req.until - self.tick - now
+        obj = req.obj
+        renew = bool(obj and vhost.fresh and not look and not held_only) and (
+            obj.marked is None or now - obj.marked >= RENEW_FROM * vhost.fresh)
+        if renew:
+            obj.marked = now
         for peer in touched:
             peer.reqs[req] = None
             peer.budget.append((now, vhost.work))
@@ -376,28 +359,26 @@
                 peer.trial = req
         req.be, req.source, req.sent, req.out = be, source, now, True
         req.tries += 1
-        req.fill, req.renew, req.ways = fill, renew, ways
-        for way in ways:
+        req.fill, req.renew, req.way = fill, renew, way
+        be.way.count += 1
+        if way:
             way.count += 1
         self._push(now + vhost.aim(req.work), req, req.tries - 1)
         join = obj is not None and self.joins and req.rejoin
-        self.host.fetch(req, be, limit, source, rank, self._age(req), join, held_only, False, renew)
+        self.host.fetch(req, be, req.until - self.tick - now, source, min(obj.seen, 2) if obj else 0,
+                        self._age(req), join, held_only, False, renew)
         return True
 
     def _room(self, be: Be, work: float) -> bool:
-        """Rule 4: may a be that started lately take this much work, with what all gateways send it?
-
-        What it can do since its start is cut into turns of one large req each, dealt to its gateways in a
-        spread order; a turn is good for one fall span. So many gateways use whole turns, where a part of a
-        req each would let nobody send, and all together stay under twice BRISK in any span.
-        """
+        """Rule 4: may a be that started lately take this much work, with what all gateways send it? What it
+        can do since its start is cut into turns of one req, dealt to its gateways in a spread order, each
+        good for one fall span: parts of a req would let nobody send; no span sees over two spans' turns."""
         now, back = self.host.now(), self.fall + self.tick
         while be.budget and be.budget[0][0] < now - back:
             be.budget.pop(0)
         if be.kind == self.origin_kind:
             return True
-        parent = be.kind == self.parent_kind
-        floor, warm, multiple = self.cold_parent if parent else self.cold_cache
+        floor, warm, multiple = self.cold_parent if be.kind == self.parent_kind else self.cold_cache
         if not be.started or now - be.started >= warm:
             return True
         turn = max(work, *(vhost.work for vhost in self.vhosts))
@@ -428,8 +409,9 @@
             peer.reqs.pop(req, None)
             if peer.trial is req:
                 peer.trial = None
-        for way in req.ways:
-            way.count -= 1
+        be.way.count -= 1
+        if req.way:
+            req.way.count -= 1
         req.out = req.flowing = False
         return source
 
@@ -459,8 +441,7 @@
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
             self.late += LEARN * (late - self.late)
-            for way in (req.ways[1:] or [self.link]) if filled else [be.way]:
-                way.heed(late, now, took, vhost.target)
+            ((req.way or self.link) if filled else be.way).heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
             vhost.usual += 0 if late else LEARN * (took - vhost.usual)
@@ -473,7 +454,7 @@
                 if req is trial and (note or not self.direct):
                     self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
-            self._strike(be, now)
+            self._strike(be, now, 2 if outcome in ("unreached", "reset") else 1)  # a closed door tells more
         elif note == 7:
             self._doubt(source, now)
 
@@ -483,9 +464,9 @@
             self.host.log(f"{be.name} answers again")
         be.heard, be.strikes, be.backoff, be.suspect, be.late = self.host.now(), 0, 0, False, 0.0
 
-    def _strike(self, be: Be, now: int) -> None:
+    def _strike(self, be: Be, now: int, weight: int = 1) -> None:
         """Count a symptom with no answer since; enough in a row make a be suspect."""
-        be.strikes += 1
+        be.strikes += weight
         usual = min(max(self.late, DOUBT**0.5), DOUBT**0.25)
         if be.suspect or usual**be.strikes <= DOUBT:
             self._suspect(be, now)
@@ -494,8 +475,8 @@
         """Count a fill that came late, or not at all, through a cache that answers others. A parent that most
         fills wait for, while another's come, is suspect; what all parents show is the origin's."""
         source.late += (1 - source.late) / 4
-        others = [peer.late for peer in self.parents if peer is not source]
-        if source.suspect or (source.late > 0.5 and others and min(others) < TOLERATED):
+        other = min((peer.late for peer in self.parents if peer is not source), default=1.0)
+        if source.suspect or (source.late > 0.5 and other < TOLERATED):
             self._suspect(source, now)
 
     def _suspect(self, be: Be, now: int) -> None:
@@ -548,6 +529,6 @@
         self._arm()
 
     def _arm(self) -> None:
-        if self.due and (self.armed is None or self.due[0][0] < self.armed):
+        if self.due and self.due[0][0] < self.armed:
             self.armed = self.due[0][0]
             self.host.wake(self.armed, "due")
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -70,8 +70,7 @@
     sent: int = 0
     units: float = 0.0
     work: float = 0.0  # its sending time, told or guessed
-    ways: list[Any] = field(default_factory=list)  # the limits that its dispatch counts to: cache, source, link
-    parent: Be | None = None  # its parent in hash order
+    way: Any = None  # the limit that its fill counts to
     fill: bool = False  # the dispatch out is likely to need a fill
     first_ran: int | None = None  # when the first dispatch that may have run was sent
     ran_at: Be | None = None
