--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -441,8 +441,9 @@
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
         if outcome not in ("cancelled", "unsent", "miss"):
             self.late += LEARN * (late - self.late)
-            # a cache whose hits are late as well is to blame for its late fills: it grows slow, or is crowded
-            filled = filled and not (late and be.way.late > TOLERATED)
+            # a cache whose hits are later than its peers' is to blame for its late fills too: it grows slow
+            mean = sum(peer.way.late for peer in self.caches) / max(1, len(self.caches))
+            filled = filled and not (late and be.way.late > max(TOLERATED, 1.5 * mean))
             ((req.way or self.link) if filled else be.way).heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
