--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -453,7 +453,7 @@
                 if req is trial and (note or not self.direct):
                     self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
-            self._strike(be, now, 2 if outcome in ("unreached", "reset") else 1)  # a closed door tells more
+            self._strike(be, now, 4 if outcome == "unreached" else 2 if outcome == "reset" else 1)  # a closed door
         elif note == 7:
             self._doubt(source, now)
 
