Leave caches with closed doors alone also where they are most of a location

Cause: at most half of a location may be suspect; when a shelf that is most of a location restarts, the rest kept being called. What is most of a location's by lateness alone is still not held against its caches. Harms where doors are closed for a moment only.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -453,7 +453,7 @@
                 if req is trial and (note or not self.direct):
                     self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
-            self._strike(be, now, 4 if outcome == "unreached" else 2 if outcome == "reset" else 1)  # a closed door
+            self._strike(be, now, 2 if outcome in ("unreached", "reset") else 1)  # a closed door tells more
         elif note == 7:
             self._doubt(source, now)
 
@@ -468,7 +468,7 @@
         be.strikes += weight
         usual = min(max(self.late, DOUBT**0.5), DOUBT**0.25)
         if be.suspect or usual**be.strikes <= DOUBT:
-            self._suspect(be, now)
+            self._suspect(be, now, weight > 1)
 
     def _doubt(self, source: Be, now: int) -> None:
         """Count a fill that came late, or not at all, through a cache that answers others. A parent that most
@@ -478,11 +478,11 @@
         if source.suspect or (source.late > 0.5 and other < TOLERATED):
             self._suspect(source, now)
 
-    def _suspect(self, be: Be, now: int) -> None:
+    def _suspect(self, be: Be, now: int, sure: bool = False) -> None:
         """Leave a be to single trials, more and more sparsely, and call back what waits for it."""
         others = sum(peer.suspect for peer in self.caches if peer is not be)
-        if be.kind == self.origin_kind or (be in self.caches and 2 * others >= len(self.caches)):
-            return  # what most of a location shows is not the caches' doing
+        if be.kind == self.origin_kind or (be in self.caches and not sure and 2 * others >= len(self.caches)):
+            return  # what most of a location shows is not the caches' doing, unless their doors are closed
         longest = max(vhost.target for vhost in self.vhosts)
         be.backoff = min(max(longest, 2 * be.backoff), 16 * longest)
         be.retry_at = now + be.backoff
