--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -194,6 +194,10 @@
     for be in model.caches:
         model.router._suspect(be, model.time)
     assert sum(be.suspect for be in model.caches) == 2
+    for be in model.caches:
+        for _ in range(2):  # closed doors are the caches' doing, however many there are
+            model.router._strike(be, model.time, 2)
+    assert all(be.suspect for be in model.caches)
 
 
 def test_late_fills_count_against_a_cache_whose_hits_are_late_not_the_link():
