--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -264,8 +264,8 @@
             # a suspect parent's trial goes straight to it: through a cache a hit would pass for its answer
             ways = [(be, [be]) for be in parents[:1] if be.suspect and be not in req.avoid]
         sources = [be for be in sources if not (self.direct and be.suspect)]
-        ways += [(be, sources) for be in tried if self._fit(be, self.caches, req)]
-        ways += [(be, sources) for be in tried]
+        fit = [be for be in tried if self._fit(be, self.caches, req)]
+        ways += [(be, sources) for be in fit + [be for be in tried if be not in fit]]
         if self.direct and (passed or all(be.suspect or not self._room(be, vhost.work) for be in tried)):
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
