--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from lilacloft.net.conn import Conn, End
-from lilacloft.net.resp import GarbledError, encode, fields, listed
+from lilacloft.net.resp import GarbledError, encode, fields
 from lilacloft.state import Be
 
 WORDS = {
--- a/lilacloft/net/conn.py
+++ b/lilacloft/net/conn.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
 import threading
@@ -170,10 +171,8 @@
             self.end = end
             self.backlog.clear()
             self.drained.notify_all()
-            try:
+            with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)  # wakes both threads
-            except OSError:
-                pass
 
     # --- the reading thread ---
 
--- /dev/null
+++ b/lilacloft/net/front.py
@@ -0,0 +1,158 @@
+"""Owns the clients' side: the listening socket, clients' connections, and what their messages must look like.
+
+It reads reqs and hands them to the owner of the module, and writes the answers that the owner gives. It must never
+answer by itself, never choose anything, and never let what one client sends touch another's connection.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from lilacloft.net.conn import Conn
+from lilacloft.net.resp import LARGEST, LARGEST_WRITE, GarbledError, encode, fields, listed
+
+STREAMS = 32  # reqs that a connection carries at most
+HEX = frozenset("0123456789abcdef")
+
+
+class Client(Conn):
+    """A client's connection."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.open: dict[bytes, Call | None] = {}  # by tag: the reader adds, the owner takes away
+
+
+class Call:
+    """A client's req as it stands on the wire: what goes on unchanged, and where the answer goes."""
+
+    __slots__ = ("client", "tag", "name", "vhost", "key", "part", "group", "kbytes", "allow", "replay", "got",
+                 "body", "at", "req", "sent", "lines")
+
+    def __init__(self, client: Client, tag: bytes, vhost: int, told: dict[str, str], body: bytes, at: int) -> None:
+        self.client, self.tag, self.vhost, self.body, self.at = client, tag, vhost, body, at
+        self.name = hexed(told["ref"], 16)
+        self.allow = whole(told["allow"], 1, 1 << 31)
+        self.key = hexed(told["lookup"], 16)
+        self.part = whole(told.get("nth", "0"), 0, 1 << 31)
+        self.group = whole(told.get("batch", "0"), 0, 255)
+        self.kbytes = float(told.get("room") or 0)
+        if not 0 <= self.kbytes < 1e9:
+            raise ValueError("room")
+        self.replay, self.got = told.get("replay"), told.get("got")
+        for text in (self.replay, self.got):
+            if text is not None and (not text or set(text) - HEX):
+                raise ValueError("no hex digits")
+        if len(body) > LARGEST_WRITE:
+            raise ValueError("a body too long")
+        self.req: Any = None
+        self.sent: Any = None  # the dispatch that is out
+        self.lines: list[Any] = []  # the connections it has been on
+
+
+def hexed(text: str, digits: int) -> str:
+    if len(text) != digits or set(text) - HEX:
+        raise ValueError("no hex digits")
+    return text
+
+
+def whole(text: str, least: int, most: int) -> int:
+    if not (text.isascii() and text.isdigit() and len(text) < 12 and least <= int(text) <= most):
+        raise ValueError("no number in range")
+    return int(text)
+
+
+class Front:
+    """All clients' connections."""
+
+    def __init__(self, post: Callable[..., None], owner: Any, address: tuple[str, int], vhosts: list[dict[str, Any]],
+                 most: int) -> None:
+        self.post, self.owner = post, owner
+        self.vhosts = {vhost["name"].encode(): place for place, vhost in enumerate(vhosts)}
+        self.keyed = {place for place, vhost in enumerate(vhosts) if vhost["effect"] == "uniqued"}
+        self.most = most
+        self.clients: dict[Client, None] = {}
+        self.counts = dict.fromkeys(("connections", "turned_away", "reqs", "unusable", "forgotten"), 0)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+
+    def start(self) -> None:
+        self.sock.listen(self.most)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError as wrong:
+                logger.error("accept: {}", wrong)  # out of descriptors: it passes
+                time.sleep(0.01)
+                continue
+            if len(self.clients) >= self.most:
+                self.counts["turned_away"] += 1
+                sock.close()
+                continue
+            try:
+                client = Client(self.takes, self.gone, sock)
+                self.clients[client] = None
+                self.counts["connections"] += 1
+                client.start()
+            except Exception:
+                logger.exception("a client's connection could not be started")
+                sock.close()
+                self.clients.pop(client, None)
+
+    # --- the connections' threads ---
+
+    def takes(self, client: Client, items: list[bytes]) -> None:
+        """Read one message."""
+        at = time.time_ns() // 100_000
+        verb, tag = items[0], items[1] if len(items) > 1 else b""
+        if not tag.isdigit() or len(tag) > 20:
+            raise GarbledError("no tag")
+        if verb == b"EXEC":
+            try:
+                call = self._read(client, tag, items, at)
+            except (ValueError, KeyError, GarbledError):
+                self.post(self.owner.unusable, client, tag)
+            else:
+                client.open[tag] = call
+                self.post(self.owner.arrived, call)
+            client.hold_back(LARGEST)
+        elif verb == b"FORGET":
+            self.post(self.owner.forgotten, client, tag)
+        elif verb == b"ALIVE":
+            self.post(self.owner.alive, client, tag)
+        else:
+            self.post(self.owner.unusable, client, tag)
+
+    def _read(self, client: Client, tag: bytes, items: list[bytes], at: int) -> Call:
+        if not 4 <= len(items) <= 5 or tag in client.open or len(client.open) >= STREAMS:
+            raise ValueError("no req, or no room for it")
+        vhost = self.vhosts[items[2]]
+        call = Call(client, tag, vhost, fields(items[3]), items[4] if len(items) > 4 else b"", at)
+        if vhost in self.keyed and call.replay is None:
+            raise ValueError("no idempotency key")
+        return call
+
+    def gone(self, client: Client) -> None:
+        self.clients.pop(client, None)
+        self.post(self.owner.hung_up, client)
+
+    # --- the owner's thread ---
+
+    @staticmethod
+    def answer(client: Client, tag: bytes, word: bytes, told: tuple[tuple[str, object], ...] = (),
+               body: bytes = b"") -> None:
+        """Write an answer, or what ALIVE is told."""
+        if told or body:
+            client.send(encode(tag, word, listed(told) if told else b"", body))
+        else:
+            client.send(encode(tag, word))
--- /dev/null
+++ b/lilacloft/net/owner.py
@@ -0,0 +1,305 @@
+"""Owns the decision module: the one thread that calls it, its queue, its clock and timers, and all final answers.
+
+Whatever the sockets' threads see comes through the queue; the module acts through this Host. It must never wait on
+a peer, never report to the module from inside one of its calls, never answer a req twice, and decide nothing.
+"""
+
+from __future__ import annotations
+
+import gc
+import heapq
+import queue
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from lilacloft.decide import Router
+from lilacloft.net.back import Back, Sent
+from lilacloft.net.conn import OUTCOMES, End
+from lilacloft.net.feed import Event, Feed, known
+from lilacloft.net.front import Call, Client, Front
+from lilacloft.net.resp import encode, listed
+from lilacloft.settings import settings
+from lilacloft.state import Be, Req
+
+TENTHS = 10_000  # in a second
+COMING = 0.7  # seconds after SIGTERM in which clients may still come, as the protocol has it
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class Owner:
+    """The Host of one gateway."""
+
+    def __init__(self, config: dict[str, Any], clock: Callable[[], int] = time.time_ns) -> None:
+        self.clock, self.time = clock, 0
+        self.queue: queue.SimpleQueue[tuple[Any, ...]] = queue.SimpleQueue()
+        self.post = lambda *event: self.queue.put(event)
+        self.timers: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.timed = 0
+        self.after: deque[tuple[Any, ...]] = deque()  # reports that a call of the module has led to
+        self.calls: dict[Req, Call] = {}
+        self.bes: dict[str, Be] = {}
+        self.ending = 0  # when SIGTERM came
+        self.counts = dict.fromkeys(("done", "denied", "aborted", "unusable", "left", "events"), 0)
+        self.ends = dict.fromkeys((end.name for end in End), 0)
+        self.config = settings(config["settings"])
+        self.vhosts = self.config["vhosts"]
+        self.longest = max(vhost["client_timeout"] for vhost in self.vhosts)
+        sockets = int(config["limits"]["sockets"])
+        last, events = config["known"]["seq"], list(
+            known(config["known"]["results"], self.config["zones"], self.config["kinds"]))
+        bes = {entry[0] for _, (what, told) in events if what != "purge" for entry in told}
+        # a third for clients, a third for caches, the rest for what is closing and the process itself
+        self.back = Back(self.post, self.now, self.back_ended, self.config, max(2, sockets // 3 // max(1, len(bes))))
+        self.front = Front(self.post, self, address(config["listen"]), self.vhosts, sockets // 3)
+        self.feed = Feed(address(config["changelog"]), last, lambda event: self.post(self.told, event))
+        self._tick()
+        self.router = Router(self, self.config)
+        mode = "cached"
+        for _, event in events:
+            self.told(event, mode if event[0] == "full" else None)
+
+    # --- the loop ---
+
+    def _tick(self) -> None:
+        self.time = max(self.time, self.clock() // 100_000)
+
+    def run(self) -> None:
+        """Serve until told to end and nothing is owed any more."""
+        self.feed.start()
+        self.front.start()
+        gc.collect()
+        gc.freeze()
+        self.sweep()
+        while not self._over():
+            wait = (self.timers[0][0] - self.clock() / 100_000) / TENTHS if self.timers else 1.0
+            event = self._next(max(0.0, wait))
+            more = self.queue.qsize()  # what has happened comes before what is due
+            while event is not None:
+                self._tick()
+                self.counts["events"] += 1
+                event[0](*event[1:])
+                self._reports()
+                event, more = self._next(0.0) if more > 0 else None, more - 1
+            self._tick()
+            while self.timers and self.timers[0][0] <= self.time:
+                _, _, what, told = heapq.heappop(self.timers)
+                what(*told)
+                self._reports()
+
+    def _next(self, wait: float) -> tuple[Any, ...] | None:
+        try:
+            return self.queue.get(timeout=wait)
+        except queue.Empty:
+            return None
+
+    def _reports(self) -> None:
+        while self.after:
+            what, *told = self.after.popleft()
+            what(*told)
+
+    def _over(self) -> bool:
+        if not self.ending:
+            return False
+        gone = self.time - self.ending
+        busy = bool(self.calls) or any(client.waits() for client in list(self.front.clients))
+        return gone >= COMING * TENTHS and (not busy or gone >= COMING * TENTHS + self.longest)
+
+    def stop(self) -> None:
+        """SIGTERM: clients still come for a while; whatever is taken is answered."""
+        if not self.ending:
+            logger.info("told to stop: {} reqs are open", len(self.calls))
+            self.ending = self.time
+
+    def at(self, when: int, what: Callable[..., None], *told: Any) -> None:
+        """Call at a time or after it."""
+        self.timed += 1
+        heapq.heappush(self.timers, (when, self.timed, what, told))
+
+    def sweep(self) -> None:
+        """The periodic work."""
+        self.at(self.time + self.back.patience, self.sweep)
+        self.back.sweep()
+
+    def report(self) -> None:
+        """Print the counters."""
+        for name, counts in (("answers", self.counts), ("front", self.front.counts), ("back", self.back.counts),
+                             ("ends", self.ends),
+                             ("log", {"connects": self.feed.connects, "events": self.feed.events})):
+            logger.info("{}: {}", name, " ".join(f"{key.lower()}={count}" for key, count in counts.items() if count))
+
+    # --- what the front brings ---
+
+    def arrived(self, call: Call) -> None:
+        if call.client.end is not None:
+            return
+        at = min(call.at, self.time)
+        call.req = req = Req(call.key, call.part, call.group, call.kbytes, at, at + call.allow * 10, call.vhost,
+                             write=bool(call.body))
+        self.calls[req] = call
+        self.router.arrived(req)
+
+    def unusable(self, client: Client, tag: bytes) -> None:
+        self.counts["unusable"] += 1
+        self.front.answer(client, tag, b"500")
+
+    def alive(self, client: Client, tag: bytes) -> None:
+        self.front.answer(client, tag, b"not_serving" if self.ending else b"serving")
+
+    def forgotten(self, client: Client, tag: bytes) -> None:
+        call = client.open.pop(tag, None)
+        if call is not None and call.req is not None:
+            self.counts["left"] += 1
+            self.router.left(call.req)
+            self._forget(call)
+
+    def hung_up(self, client: Client) -> None:
+        for tag in list(client.open):
+            self.forgotten(client, tag)
+
+    # --- what the back brings ---
+
+    def back_ended(self, sent: Sent, end: End, note: int, waited: int, load: list[float], body: bytes) -> None:
+        """A dispatch or a check is over."""
+        self.ends[end.name] += 1
+        call, took = sent.call, self.time - sent.at
+        if call is None:
+            return self.router.checked(sent.be, took, OUTCOMES[end], load)
+        call.sent = None
+        outcome = OUTCOMES[end]
+        if outcome == "done":
+            if end is End.UNCHANGED:
+                self._final(call, "done", b"200", (("ok304", 1),))
+            else:
+                self._final(call, "done", b"200", (), body)
+        self.router.ended(call.req, sent.be, sent.seq, outcome, took, outcome == "done" or call.req.closed, note,
+                          waited, load)
+        self._forget(call)
+        return None
+
+    def _time_up(self, sent: Sent) -> None:
+        """A dispatch has had its time."""
+        if sent.conn is not None:
+            self.back.give_up(sent)
+            self.back_ended(sent, End.TIME_UP, 0, 0, [], b"")
+
+    def _final(self, call: Call, kind: str, word: bytes, told: tuple[tuple[str, object], ...] = (),
+               body: bytes = b"") -> None:
+        """The one place of final answers: once a req, and none to who has left."""
+        if call.client.open.pop(call.tag, None) is call:
+            self.counts[kind] += 1
+            self.front.answer(call.client, call.tag, word, told, body)
+
+    def _forget(self, call: Call) -> None:
+        if call.req.closed and call.sent is None:
+            self.calls.pop(call.req, None)
+
+    # --- what the change log brings ---
+
+    def told(self, event: Event, mode: str | None = None) -> None:
+        """A list, changes of it, or a purge."""
+        what, told = event
+        if what == "purge":
+            key, group, at = told
+            return self.router.purged(key, group, max(0, self.time - at * 10))
+        entries, places = [], []
+        for name, place, zone, kind, cell, status, size, started in told:
+            be = self.bes.get(name)
+            if be is None:
+                be = self.bes[name] = Be(name)
+            entries.append((be, zone, kind, cell, status, size, started * 10))
+            places.append((be, place))
+        self.router.listed(mode or what, entries)
+        for be, place in places:
+            if be.status:
+                self.back.place(be, place)
+        for name, be in list(self.bes.items()):
+            if not be.status:
+                self.back.drop(be)
+                if not be.reqs:
+                    del self.bes[name]
+        return None
+
+    # --- Host: what the module calls ---
+
+    def now(self) -> int:
+        return self.time
+
+    def look(self, req: Req, be: Be, limit: int) -> None:
+        self._dispatch(req, be, limit, None, 0, 0, [])
+
+    def fetch(self, req: Req, be: Be, limit: int, source: Be, rank: int, age: int, join: bool, held_only: bool,
+              no_trace: bool, renew: bool) -> None:
+        ways = [word for word, said in (("share", join), ("peek", held_only), ("pass", no_trace), ("swr", renew))
+                if said]
+        self._dispatch(req, be, limit, source if source is not be else None, rank, age, ways)
+
+    def _dispatch(self, req: Req, be: Be, limit: int, source: Be | None, rank: int, age: int,
+                  ways: list[str]) -> None:
+        call = self.calls[req]
+        told = listed((
+            ("profile", self.vhosts[req.vhost]["name"]), ("thing", req.key), ("nth", req.part),
+            ("max", max(1, limit // 10)),  # never longer than the gateway will wait
+            ("replay", call.replay), ("next", source.name if source else None), ("admit", rank or None),
+            ("agelim", max(1, age // 10) if age else None),  # 0 would mean the whole fresh time
+            ("ways", "+".join(ways) or None), ("cached", call.got)))
+        name = call.name.encode()
+        sent = Sent(call, be, req.tries - 1, name, encode(b"do", name, told, call.body), self.time)
+        call.sent = sent
+        end = self.back.dispatch(sent)
+        if end is not None:
+            self.after.append((self.back_ended, sent, end, 0, 0, [], b""))
+        else:
+            self.at(self.time + min(limit, req.until - self.time), self._time_up, sent)
+
+    def cancel(self, req: Req, seq: int) -> None:
+        call = self.calls.get(req)
+        sent = call.sent if call else None
+        if sent is not None and sent.seq == seq and sent.conn is not None:
+            self.back.give_up(sent)
+            self.after.append((self.back_ended, sent, End.CALLED_OFF, 0, 0, [], b""))
+
+    def deny(self, req: Req, after: int) -> None:
+        call = self.calls[req]
+        self._final(call, "denied", b"503", (("cooldown", -(-after // 10)),) if after else ())
+        self.after.append((self._forget, call))
+
+    def abort(self, req: Req) -> None:
+        call = self.calls[req]
+        self._final(call, "aborted", b"500")
+        self.after.append((self._forget, call))
+
+    def wake(self, at: int, token: str) -> None:
+        self.at(at, self._wake, token)
+
+    def _wake(self, token: str) -> None:
+        self.router.woke(token)
+
+    def check(self, be: Be) -> None:
+        sent, end = self.back.check(be)
+        if end is not None:
+            self.after.append((self.back_ended, sent, end, 0, 0, [], b""))
+        else:
+            self.at(self.time + self.back.patience, self._time_up, sent)
+
+    def disconnect(self, be: Be) -> None:
+        self.back.give_back(be)
+
+    def tell(self, peer: int, text: str) -> None:
+        """Gateways of this protocol have no way to each other."""
+
+    def subscribe(self, on: bool) -> None:
+        """The change log is always followed."""
+
+    def snapshot(self) -> None:
+        """The change log sends the whole list where it must."""
+
+    def log(self, text: str) -> None:
+        logger.info("{}", text)
