Keep the module's time going when the system's clock is put back; drop two unmeasured knobs

A clock put back would have stopped all timers, and with them answers in time (owner.py, _tick: the larger of two readings of Unix time). Now the monotonic clock carries it on; a test puts it back an hour.

--- a/lilacloft/__main__.py
+++ b/lilacloft/__main__.py
@@ -49,7 +49,6 @@
 
 def serve(path: str | None) -> int:
     threading.stack_size(256 * 1024)
-    sys.setswitchinterval(0.001)
     owner = make(read(path))
     signal.signal(signal.SIGTERM, lambda *_: owner.post(owner.stop))
     signal.signal(signal.SIGUSR1, lambda *_: owner.post(owner.report))
--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -16,6 +16,7 @@
 
 from lilacloft.net.conn import Conn, End
 from lilacloft.net.resp import LARGEST, LARGEST_WRITE, GarbledError, encode, fields, listed
+from lilacloft.settings import NS
 
 STREAMS = 32  # reqs that a connection carries at most
 HEX = frozenset("0123456789abcdef")
@@ -161,7 +162,7 @@
 
     def takes(self, client: Client, items: list[bytes]) -> None:
         """Read one message."""
-        at = time.time_ns() // 100_000
+        at = time.monotonic_ns() // NS
         client.used = time.monotonic()
         verb, tag = items[0], items[1] if len(items) > 1 else b""
         if not tag.isdigit() or len(tag) > 20:
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import gc
 import heapq
 import queue
 import time
@@ -23,7 +22,7 @@
 from lilacloft.net.feed import Event, Feed, known
 from lilacloft.net.front import Call, Client, Front
 from lilacloft.net.resp import encode, listed
-from lilacloft.settings import TENTHS, settings
+from lilacloft.settings import NS, TENTHS, settings
 from lilacloft.state import Be, Req
 
 COMING = 0.7  # seconds after SIGTERM in which clients may still come, as the protocol has it
@@ -40,7 +39,7 @@
     """The Host of one gateway."""
 
     def __init__(self, config: dict[str, Any], clock: Callable[[], int] = time.time_ns) -> None:
-        self.clock, self.time = clock, 0
+        self.clock, self.time, self.steady = clock, 0, time.monotonic_ns() // NS
         self.queue: queue.SimpleQueue[tuple[Any, ...]] = queue.SimpleQueue()
         self.post = lambda *event: self.queue.put(event)
         self.timers: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -78,19 +77,22 @@
     # --- the loop ---
 
     def _tick(self) -> None:
-        self.time = max(self.time, self.clock() // 100_000)
+        """Take the time: Unix time as lists and purges have it, which goes on also when the system's clock is
+        put back."""
+        steady = time.monotonic_ns() // NS
+        self.time = max(self.time + steady - self.steady, self.clock() // NS)
+        self.steady = steady
 
     def run(self) -> None:
         """Serve until told to end and nothing is owed any more."""
         self.feed.start()
         self.front.start()
-        gc.collect()
-        gc.freeze()
         self.sweep()
         while not self._over():
-            wait = (self.timers[0][0] - self.clock() / 100_000) / TENTHS if self.timers else 1.0
-            event = self._next(max(0.0, wait))
-            if event is None and self.timers and self.clock() // 100_000 - self.timers[0][0] > self.slack:
+            self._tick()
+            event = self._next(max(0, self.timers[0][0] - self.time) / TENTHS)
+            self._tick()
+            if event is None and self.time - self.timers[0][0] > self.slack:
                 # the process was stopped, or starved: answers may lie unread, and no cache is to blame
                 event = self._next(self.slack / TENTHS)
             more = self.queue.qsize()  # what has happened comes before what is due
@@ -169,7 +171,7 @@
     def arrived(self, call: Call) -> None:
         if call.client.end is not None:
             return
-        at = min(call.at, self.time)
+        at = self.time - max(0, self.steady - call.at)
         until = at + min(call.allow * 10, self.vhosts[call.vhost]["client_timeout"])
         self.arrival = self.time
         call.req = req = Req(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 import pytest
 from rig import Asker, Stand, World, encode, record, serves
 
+from lilacloft.net.owner import Owner
 from lilacloft.net.resp import fields
 
 CLIP = b"x" * 200_000
@@ -279,6 +280,21 @@
     assert code == 0 and "undone" not in told and "left alone" not in told
 
 
+def test_the_clock_put_back_neither_stops_nor_turns_the_modules_time(world):
+    unix = [10**18]
+    owner = Owner({**world().config, "listen": "127.0.0.1:0"}, lambda: unix[0])
+    owner._tick()
+    begin = owner.now()
+    unix[0] -= 3600 * 10**9
+    until = time.monotonic() + 0.02
+    while time.monotonic() < until:
+        owner._tick()
+    assert begin + 190 <= owner.now() < begin + 10_000
+    unix[0] += 7200 * 10**9
+    owner._tick()
+    assert owner.now() == unix[0] // 100_000
+
+
 def test_many_short_connections_and_clients_that_do_not_read_leave_it_serving(world):
     world = world(serves(CLIP), sockets=120)
     for _ in range(1000):
