Answer what is owed on a client's connection before it ends; more ends and bad input tested

Read against the issue's list of bad input: a client that wrote nonsense, or closed its half only, lost the answers still owed to it (conn.py, _run closed at once). The reading thread now waits until they are out; a reset still counts as the client's leaving. A missing setting is named by the operators' word.

New tests, each against stand-ins: a connection that went silent is not used again; an undo that cannot be written ends its connection; a half-closed client gets its answer; configurations that cannot be used.

--- a/lilacloft/__main__.py
+++ b/lilacloft/__main__.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from lilacloft import __version__
+from lilacloft.settings import WORDS
 
 
 class UnusableError(Exception):
@@ -40,7 +41,8 @@
     try:
         return Owner(config)
     except KeyError as wrong:
-        raise UnusableError(f"the configuration lacks {wrong.args[0]}") from wrong
+        lacks = {ours: theirs for theirs, ours in WORDS.items()}.get(wrong.args[0], wrong.args[0])
+        raise UnusableError(f"the configuration lacks {lacks}") from wrong
     except OSError as wrong:
         raise UnusableError(f"{config['listen']} cannot be listened on: {wrong.strerror}") from wrong
     except (ValueError, TypeError, AttributeError, IndexError) as wrong:
--- a/lilacloft/net/conn.py
+++ b/lilacloft/net/conn.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import socket
 import threading
 from collections import deque
@@ -192,6 +191,9 @@
 
     # --- the reading thread ---
 
+    def linger(self) -> None:
+        """Nothing more can be read: wait as long as what was read before is still owed something."""
+
     def _connect(self) -> None:
         self.sock.settimeout(self.patience)
         try:
@@ -228,10 +230,12 @@
                     self.takes(self, items)
         except GarbledError:
             end = End.GARBLED
-        except OSError as wrong:
-            end = End.FAULT if wrong.errno == errno.EBADF else End.RESET
+        except OSError:
+            end = End.RESET
         except Exception:
             logger.exception("a connection's thread failed")
+        if end in (End.CLOSED, End.GARBLED):
+            self.linger()
         self.close(end)
         with self.lock:  # whoever is last closes it: a thread in mid-call must not meet another's descriptor
             self.over = True
--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -18,6 +18,7 @@
 from lilacloft.net.resp import LARGEST, LARGEST_WRITE, GarbledError, encode, fields, listed
 from lilacloft.settings import NS
 
+LOOK = 0.02  # seconds between two looks at what a connection that is closing still owes
 STREAMS = 32  # reqs that a connection carries at most
 HEX = frozenset("0123456789abcdef")
 
@@ -25,12 +26,23 @@
 class Client(Conn):
     """A client's connection."""
 
-    def __init__(self, *args: Any) -> None:
+    def __init__(self, post: Callable[..., None], *args: Any) -> None:
         super().__init__(*args)
+        self.post = post
         self.open: dict[bytes, Call] = {}  # by tag: the reader adds, the owner takes away
         self.used = time.monotonic()  # when it last brought something
         self.moved = (0, self.used)  # how much had gone out, and since when no more
 
+    def linger(self) -> None:
+        """The other side may have closed only its half, or written nonsense after what can be answered."""
+        if self.end is None:
+            seen = threading.Event()
+            self.post(seen.set)  # until the owner has come to all that was read
+            seen.wait()
+            with self.lock:
+                while self.end is None and (self.open or self.waits()):
+                    self.drained.wait(LOOK)
+
 
 class Call:
     """A client's req as it stands on the wire: what goes on unchanged, and where the answer goes."""
@@ -138,7 +150,7 @@
                 self.counts["turned_away"] += 1
                 sock.close()
                 continue
-            client = Client(self.takes, self.gone, sock)
+            client = Client(self.post, self.takes, self.gone, sock)
             self.clients[client] = None
             self.counts["connections"] += 1
             try:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -2,6 +2,7 @@
 stand-ins for what a real gateway talks to."""
 
 import contextlib
+import copy
 import json
 import queue
 import socket
@@ -336,7 +337,7 @@
                     "state": "active", "az": "here" if kind == "small" else "hub", "pod_group": 0,
                     "capacity_hint": 5, "boot_ms": 0} for number, (stand, kind) in stands]
         self.config = {
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "00", "settings": ENV,
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "00", "settings": copy.deepcopy(ENV),
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "changelog": f"127.0.0.1:{self.log.port}",
             "known": {"seq": 1, "results": [
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,16 +1,24 @@
 """A whole gateway process between stand-ins: the rules that only sockets can break."""
 
+import json
 import os
+import queue
 import signal
 import socket
 import struct
 import time
+import types
 
 import pytest
-from rig import Asker, Stand, World, encode, record, serves
+from rig import ENV, Asker, Stand, World, encode, record, serves
 
+from lilacloft.__main__ import main
+from lilacloft.net.back import Back, Sent
+from lilacloft.net.conn import End
 from lilacloft.net.owner import Owner
 from lilacloft.net.resp import fields
+from lilacloft.settings import settings
+from lilacloft.state import Be
 
 CLIP = b"x" * 200_000
 
@@ -111,8 +119,9 @@
     asker.send(b"FORGET", b"77")
     tag = asker.ask()
     assert asker.answer()[:2] == [tag, b"200"]
+    tag = other.ask()
     other.sock.sendall(b"*5\r\n$99999999\r\n")
-    assert other.answer() is None
+    assert other.answer()[:2] == [tag, b"200"] and other.answer() is None, "what was owed comes first"
     tag = asker.ask()
     assert asker.answer()[:2] == [tag, b"200"]
 
@@ -126,6 +135,13 @@
     assert asker.answer() == [tag, b"500"]
 
 
+def test_who_closes_its_half_only_gets_its_answer(world):
+    asker = world(serves(CLIP)).asker()
+    tag = asker.ask()
+    asker.sock.shutdown(socket.SHUT_WR)
+    assert asker.answer() == [tag, b"200", b"", CLIP] and asker.answer() is None
+
+
 def test_two_clients_may_use_the_same_name(world):
     world = world(lambda stand, sock, items: stand.seen.qsize() > 1 and serves()(stand, sock, items))
     asker = world.asker()
@@ -137,9 +153,10 @@
     world = world(silent)
     asker = world.asker()
     other = world.asker()
+    other.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     for who, leave in (
         (asker, lambda tag: asker.send(b"FORGET", tag)),
-        (other, lambda tag: other.sock.close()),
+        (other, lambda tag: other.sock.close()),  # a reset says as much
     ):
         tag = who.ask()
         name = world.caches[0].next()[2][1]
@@ -150,6 +167,47 @@
         asker.answer()
 
 
+def test_a_connection_that_went_silent_is_not_used_again(world):
+    """A machine that was cut off leaves connections open that nothing comes through any more."""
+
+    def says(stand, sock, items):
+        if sock is not stand.socks[0]:
+            serves()(stand, sock, items)
+
+    asker, until, word = world(says).asker(), time.monotonic() + 8, b""
+    while word != b"200" and time.monotonic() < until:
+        asker.ask(room=4, allow=3000)
+        word = asker.answer()[1]
+    assert word == b"200"
+
+
+def test_an_undo_that_does_not_get_out_ends_its_connection():
+    """Else the next dispatch of the req would be out beside the first."""
+    events, server = queue.SimpleQueue(), socket.create_server(("127.0.0.1", 0))
+    config = settings(ENV)
+    back = Back(lambda *event: events.put(event), lambda: 0, lambda *told: ends.append(told[:2]), config, 8)
+    be, ends = Be("s-1", status=1), []
+    back.place(be, server.getsockname())
+    out = [Sent(None, be, 0, b"%d" % number, encode(b"do", b"x" * 240_000), 0) for number in range(30)]
+    assert not any(back.dispatch(sent) for sent in out)
+    line = out[0].conn
+    peer, _ = server.accept()
+    until = time.monotonic() + 5
+    while not line.writing and time.monotonic() < until:
+        time.sleep(0.005)
+    back.give_up(out[-1])
+    assert line.end is None, "what has not begun to go out is taken back"
+    out[0].call = out[1].call = types.SimpleNamespace(lines=[])
+    back.give_up(out[0])
+    assert line.end is End.CHOKED
+    what, *told = events.get(timeout=5)
+    what(*told)
+    assert [end for sent, end in ends if sent is out[1]][0] in (End.CHOKED, End.UNWRITTEN)
+    assert ends[-1] == (out[-2], End.UNWRITTEN) and len(ends) == 28
+    peer.close()
+    server.close()
+
+
 def test_the_undo_is_out_before_the_next_dispatch(world):
     """Two dispatches of a req must never be out at once, also where the first cache reads slowly."""
     out, most = set(), []
@@ -296,6 +354,24 @@
     assert owner.now() == unix[0] // 100_000
 
 
+@pytest.mark.parametrize(
+    "word, broken, told",
+    [
+        ("check", lambda config: config["settings"].pop("familyInfo"), "lacks familyInfo"),
+        ("check", lambda config: config.pop("changelog"), "lacks changelog"),
+        ("check", lambda config: config["known"]["results"][0]["fleet"]["targets"][0].update(az="x"), "'x'"),
+        ("serve", lambda config: None, "cannot be listened on"),
+    ],
+)
+def test_a_configuration_that_cannot_be_used_is_told_in_one_line(world, word, broken, told, capsys):
+    world = world()
+    broken(world.config)
+    world.path.write_text(json.dumps(world.config))
+    assert main([word, "--config", str(world.path)]) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 1 and told in lines[0]
+
+
 def test_many_short_connections_and_clients_that_do_not_read_leave_it_serving(world):
     world = world(serves(CLIP), sockets=120)
     for _ in range(1000):
