Listen before the first log line; a second SIGTERM at the end no longer kills

Seen: tests failed now and then, more with four runs side by side. Causes, from the printed errors: the line 'serving on' came before the socket listened (__main__.py, serve; now owner.py, run); a second SIGTERM that met the interpreter's end found the default handler and ended it with -15 instead of 0 (ignored from then on); the tests' own choice of a port below what outgoing connections may take.

Also: after a stop of the process readers get one moment before due times count, whether or not something had come already; a fresh connection that never brought anything counts as silent; reqs taken after SIGTERM end before the process may be killed; no log line per failure to connect or accept.

--- a/lilacloft/__main__.py
+++ b/lilacloft/__main__.py
@@ -54,15 +54,13 @@
     owner = make(read(path))
     signal.signal(signal.SIGTERM, lambda *_: owner.post(owner.stop))
     signal.signal(signal.SIGUSR1, lambda *_: owner.post(owner.report))
-    logger.info(
-        "serving on {} with {} bes listed", ":".join(map(str, owner.front.sock.getsockname())), len(owner.bes)
-    )
     try:
         owner.run()
     except Exception:
         logger.exception("the module's thread failed")
         return 1
     finally:
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)  # the interpreter's end would put back the default
         owner.report()
     return 0
 
--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -65,7 +65,7 @@
         super().__init__(*args, **more)
         self.pool = pool
         self.out: dict[bytes, Sent] = {}
-        self.heard = 0  # when it last brought something
+        self.heard = 0  # when it last brought something; 0: never
         self.used = 0  # when something was last out on it
         self.shunned = False  # takes no new ones
 
@@ -101,11 +101,13 @@
             )
             line.start()
         except (OSError, RuntimeError) as wrong:  # no descriptor or no thread to be had: it passes
-            logger.error("no connection to {}: {}", self.be.name, wrong)
+            if not self.back.counts["unmade"]:
+                logger.error("no connection to {}: {}", self.be.name, wrong)
+            self.back.counts["unmade"] += 1
             return None
         self.lines.append(line)
         self.back.counts["connections"] += 1
-        line.used = line.heard = self.back.now()
+        line.used = self.back.now()
         return line
 
     def retire(self) -> None:
@@ -136,7 +138,7 @@
         self.pools: dict[Be, Pool] = {}
         self.checks = 0
         self.counts = dict.fromkeys(
-            ("connections", "dispatches", "undone", "checks", "answers", "unknown"), 0
+            ("connections", "unmade", "dispatches", "undone", "checks", "answers", "unknown"), 0
         )
 
     # --- the list ---
--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -18,7 +18,7 @@
 from lilacloft.net.resp import LARGEST, LARGEST_WRITE, GarbledError, encode, fields, listed
 from lilacloft.settings import NS
 
-LOOK = 0.02  # seconds between two looks at what a connection that is closing still owes
+LOOK = 0.02  # seconds between two looks at what passes by itself
 STREAMS = 32  # reqs that a connection carries at most
 HEX = frozenset("0123456789abcdef")
 
@@ -47,7 +47,7 @@
 class Call:
     """A client's req as it stands on the wire: what goes on unchanged, and where the answer goes."""
 
-    __slots__ = (
+    __slots__ = [
         "client",
         "tag",
         "name",
@@ -64,7 +64,7 @@
         "req",
         "sent",
         "lines",
-    )
+    ]
 
     def __init__(
         self, client: Client, tag: bytes, vhost: int, told: dict[str, str], body: bytes, at: int
@@ -117,19 +117,8 @@
         self.keyed = {place for place, vhost in enumerate(vhosts) if vhost["effect"] == "uniqued"}
         self.most = most
         self.clients: dict[Client, None] = {}
-        self.counts = dict.fromkeys(
-            (
-                "connections",
-                "turned_away",
-                "closed_idle",
-                "choked",
-                "reqs",
-                "unusable",
-                "forgotten",
-                "checks",
-            ),
-            0,
-        )
+        names = "connections not_taken turned_away closed_idle choked reqs unusable forgotten checks"
+        self.counts = dict.fromkeys(names.split(), 0)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
@@ -142,9 +131,12 @@
         while True:
             try:
                 sock, _ = self.sock.accept()
-            except OSError as wrong:
-                logger.error("accept: {}", wrong)  # out of descriptors: it passes
-                time.sleep(0.01)
+            except OSError as wrong:  # out of descriptors, most likely: it passes
+                if not self.counts["not_taken"]:
+                    logger.error("accept: {}", wrong)
+                self.counts["not_taken"] += 1
+                self._make_room()
+                time.sleep(LOOK)
                 continue
             if len(self.clients) >= self.most and not self._make_room():
                 self.counts["turned_away"] += 1
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -51,28 +51,26 @@
         self.arrival = 0  # when the last req came
         self.counts = dict.fromkeys(("done", "denied", "aborted", "left"), 0)
         self.ends = dict.fromkeys((end.name for end in End), 0)
+        self.listen = config["listen"]
         self.config = settings(config["settings"])
         self.vhosts = self.config["vhosts"]
         self.slack = self.config["rules"]["answer_slack"]
         self.longest = max(vhost["client_timeout"] for vhost in self.vhosts)
         sockets = int(config["limits"]["sockets"])
         self.spare = int(config["limits"]["memory_mb"] * 1e6) // 4  # bytes that may wait for clients in all
-        last, events = (
-            config["known"]["seq"],
-            list(known(config["known"]["results"], self.config["zones"], self.config["kinds"])),
-        )
+        last = config["known"]["seq"]
+        events = list(known(config["known"]["results"], self.config["zones"], self.config["kinds"]))
         bes = {entry[0] for _, (what, told) in events if what != "purge" for entry in told}
         # clients hold a third at most, and what closes counts for a while; the caches get a third
         self.back = Back(
             self.post, self.now, self.back_ended, self.config, max(2, sockets // 3 // max(1, len(bes)))
         )
-        self.front = Front(self.post, self, address(config["listen"]), self.vhosts, sockets // 2)
+        self.front = Front(self.post, self, address(self.listen), self.vhosts, sockets // 2)
         self.feed = Feed(address(config["changelog"]), last, lambda event: self.post(self.told, event))
         self._tick()
         self.router = Router(self, self.config)
-        mode = "cached"
         for _, event in events:
-            self.told(event, mode if event[0] == "full" else None)
+            self.told(event, "cached" if event[0] == "full" else None)
 
     # --- the loop ---
 
@@ -85,16 +83,18 @@
 
     def run(self) -> None:
         """Serve until told to end and nothing is owed any more."""
-        self.feed.start()
         self.front.start()
+        logger.info("serving on {} with {} bes listed", self.listen, len(self.bes))
+        self.feed.start()
         self.sweep()
         while not self._over():
             self._tick()
             event = self._next(max(0, self.timers[0][0] - self.time) / TENTHS)
             self._tick()
-            if event is None and self.time - self.timers[0][0] > self.slack:
+            if self.time - self.timers[0][0] > self.slack:
                 # the process was stopped, or starved: answers may lie unread, and no cache is to blame
-                event = self._next(self.slack / TENTHS)
+                time.sleep(self.slack / TENTHS)
+                event = event or self._next(0.0)
             more = self.queue.qsize()  # what has happened comes before what is due
             while event is not None:
                 self._tick()
@@ -173,17 +173,11 @@
             return
         at = self.time - max(0, self.steady - call.at)
         until = at + min(call.allow * 10, self.vhosts[call.vhost]["client_timeout"])
+        if self.ending:
+            until = min(until, self.by)
         self.arrival = self.time
-        call.req = req = Req(
-            call.key,
-            call.part,
-            call.group,
-            call.kbytes,
-            at,
-            until,
-            call.vhost,
-            write=bool(call.body),
-        )
+        req = Req(call.key, call.part, call.group, call.kbytes, at, until, call.vhost, write=bool(call.body))
+        call.req = req
         self.calls[req] = call
         self.router.arrived(req)
 
@@ -221,17 +215,8 @@
                 self._final(call, "done", b"200", (("ok304", 1),))
             else:
                 self._final(call, "done", b"200", (), body)
-        self.router.ended(
-            call.req,
-            sent.be,
-            sent.seq,
-            outcome,
-            took,
-            outcome == "done" or call.req.closed,
-            note,
-            waited,
-            load,
-        )
+        final = outcome == "done" or call.req.closed
+        self.router.ended(call.req, sent.be, sent.seq, outcome, took, final, note, waited, load)
         self._forget(call)
         return None
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,7 +3,9 @@
 
 import contextlib
 import copy
+import itertools
 import json
+import os
 import queue
 import socket
 import struct
@@ -296,6 +298,14 @@
     return struct.pack(">I4sHBBBHIQ", name, here, port, state, int(kind > 1), kind, 0, 5000, started)
 
 
+def unused(ports=itertools.count(20_000 + os.getpid() % 300 * 40)):
+    """A port to listen on later, below those that outgoing connections take."""
+    for port in ports:
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
+    return None
+
+
 class Asker:
     """A client's connection."""
 
@@ -329,8 +339,7 @@
     def __init__(self, tmp_path, caches=(None,), sockets=1024, memory_mb=192):
         self.caches = [Stand(says or serves()) for says in caches]
         self.parent, self.origin, self.log = Stand(), Stand(), Log()
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+        self.port = unused()
         kinds = ["small"] * len(caches) + ["parent", "origin"]
         stands = enumerate(zip([*self.caches, self.parent, self.origin], kinds, strict=True), 1)
         targets = [{"uid": f"s-{number:08x}", "endpoint": f"127.0.0.1:{stand.port}", "model": kind,
