--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -88,7 +88,16 @@
     assert asker.answer() == [tag, *want]
 
 
-@pytest.mark.parametrize("answer", [b"+OK\r\n", b"*2\r\n$4\r\n", encode(b"1", b"data", b"slow=nan", b"y")])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"+OK\r\n",
+        b"*2\r\n$4\r\n",
+        encode(b"1", b"data", b"slow=nan", b"y"),
+        encode(b"1", b"well", b"-"),  # an answer to a check
+        encode(b"1", b"unchanged", b"-"),  # where no copy was named
+    ],
+)
 def test_no_form_of_answer_is_never_passed_on(world, answer):
     """Half an answer and then the end, or what is none at all: it may have run, so it goes elsewhere once."""
 
