Never take an answer to a check, or 'unchanged' unasked, for a req's answer

Found by reading (back.py, answered): 'well' under a dispatch's id would have been served as an empty object, and 'unchanged' where the client named no copy as its copy. The accepting and the writing thread log what they did not expect and go on, instead of ending silently; checks and dispatches are counted apart also where no connection was to be had.

--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -24,9 +24,8 @@
     b"full": End.FULL,
     b"failed": End.FAILED,
     b"moot": End.MOOT,
-    b"well": End.DATA,
-    b"ill": End.FAILED,
 }
+HEALTH = {b"well": End.DATA, b"ill": End.FAILED}  # the answers to checks
 NOTES = {
     name: place
     for place, name in enumerate(
@@ -172,7 +171,7 @@
         if sent.call:
             sent.call.lines.append(line)
         sent.place = line.send(sent.data)
-        self.counts["dispatches"] += 1
+        self.counts["dispatches" if sent.call else "checks"] += 1
         return None
 
     def check(self, be: Be) -> tuple[Sent, End | None]:
@@ -180,8 +179,6 @@
         self.checks += 1
         name = b"%d" % self.checks
         sent = Sent(None, be, 0, name, encode(b"top" if self.names else b"ping", name), self.now())
-        self.counts["checks"] += 1
-        self.counts["dispatches"] -= 1
         return sent, self.dispatch(sent)
 
     def give_up(self, sent: Sent) -> None:
@@ -213,7 +210,7 @@
 
     def answer(self, line: Line, items: list[bytes]) -> None:
         """Read one answer; the connection's thread calls this."""
-        if not 2 <= len(items) <= 4 or items[1] not in WORDS:
+        if not 2 <= len(items) <= 4 or (items[1] not in WORDS and items[1] not in HEALTH):
             raise GarbledError("no answer")
         told = fields(items[2]) if len(items) > 2 else {}
         note = told.get("remark", "")
@@ -230,13 +227,13 @@
         except (ValueError, OverflowError):
             raise GarbledError("fields that cannot be read") from None
         body = items[3] if len(items) > 3 else b""
-        self.post(self.answered, line, items[0], WORDS[items[1]], NOTES[note], waited, report, body)
+        self.post(self.answered, line, items[0], items[1], NOTES[note], waited, report, body)
 
     def gone(self, line: Line) -> None:
         self.post(self.broken, line)
 
     def answered(
-        self, line: Line, name: bytes, end: End, note: int, waited: int, report: list[float], body: bytes
+        self, line: Line, name: bytes, word: bytes, note: int, waited: int, report: list[float], body: bytes
     ) -> None:
         """The owner's part of an answer."""
         line.heard = self.now()
@@ -244,6 +241,10 @@
         if sent is None:
             self.counts["unknown"] += 1
             return
+        end = (WORDS if sent.call else HEALTH).get(word)
+        if end is None or (end is End.UNCHANGED and not sent.call.got):
+            line.close(End.GARBLED)  # no answer to what was asked: what is out ends with the connection
+            return
         self.counts["answers"] += 1
         self._off(line, sent)
         self.ended(sent, end, note, waited, report, body)
--- a/lilacloft/net/conn.py
+++ b/lilacloft/net/conn.py
@@ -149,6 +149,10 @@
             except OSError:
                 self.close(End.RESET)
                 continue
+            except Exception:
+                logger.exception("a connection's writing thread failed")
+                self.close(End.FAULT)
+                continue
             with self.lock:
                 self.written += count
                 if count < len(rest):
--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -130,27 +130,31 @@
     def _accept(self) -> None:
         while True:
             try:
-                sock, _ = self.sock.accept()
-            except OSError as wrong:  # out of descriptors, most likely: it passes
+                self._take(self.sock.accept()[0])
+            except (OSError, RuntimeError) as wrong:  # no descriptor or no thread to be had: it passes
                 if not self.counts["not_taken"]:
                     logger.error("accept: {}", wrong)
                 self.counts["not_taken"] += 1
                 self._make_room()
                 time.sleep(LOOK)
-                continue
-            if len(self.clients) >= self.most and not self._make_room():
-                self.counts["turned_away"] += 1
-                sock.close()
-                continue
-            client = Client(self.post, self.takes, self.gone, sock)
-            self.clients[client] = None
-            self.counts["connections"] += 1
-            try:
-                client.start()
-            except RuntimeError as wrong:  # no thread to be had: it passes
-                logger.error("accept: {}", wrong)
-                self.clients.pop(client, None)
-                sock.close()
+            except Exception:
+                logger.exception("the accepting thread failed")
+
+    def _take(self, sock: socket.socket) -> None:
+        """Start a client's connection, if there is room for one."""
+        if len(self.clients) >= self.most and not self._make_room():
+            self.counts["turned_away"] += 1
+            sock.close()
+            return
+        client = Client(self.post, self.takes, self.gone, sock)
+        self.clients[client] = None
+        try:
+            client.start()
+        except RuntimeError:
+            self.clients.pop(client, None)
+            sock.close()
+            raise
+        self.counts["connections"] += 1
 
     def _make_room(self) -> bool:
         """Close the connection that has been idle longest; the protocol lets us where no req is open."""
