Follow SIGHUP, end spoilt connections soon and blame no cache for them

Lines at fault: decide.py _blame (a reset weighs as two symptoms, so one is enough), OUTCOMES (GARBLED was a reset, UNWRITTEN a closed door), back.py Pool.line (all dispatches on the first connection with room, so one spoilt answer took up to 32 along), conn.py _run (half an answer that stops held its connection for good). Ruled out: the change log (its stops were noticed, after 3 s; now 2), load (0.25 s of CPU in a second at most).

Changed: an answer that cannot be read, is cut off, or stands still for the connect time-out ends its connection as GARBLED; its dispatches are 'spoilt': they may have run, blame nobody, and go to the same cache again, which has the copy ready. What was not written is 'unsent' and goes there again too. A reset weighs as one symptom, a refused connection as two. A pool prefers an idle connection, then a new one. SIGHUP reads the file in a thread of its own; the feed moves at once, from the last event held; limits on memory and descriptors are taken over; a file that cannot be used leaves the old one in force.

--- a/lilacloft/__main__.py
+++ b/lilacloft/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import json
 import os
+import queue
 import signal
 import sys
 import threading
@@ -27,7 +28,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             config = json.load(file)
-    except (OSError, ValueError) as wrong:
+    except (OSError, ValueError, RecursionError) as wrong:
         raise UnusableError(f"{path} cannot be read: {wrong}") from wrong
     if not isinstance(config, dict):
         raise UnusableError(f"{path} holds no object")
@@ -49,9 +50,21 @@
         raise UnusableError(f"the configuration cannot be used: {wrong}") from wrong
 
 
+def reread(path: str | None, asked: queue.SimpleQueue[bool], owner: Any) -> None:
+    """The thread that reads the configuration again at each SIGHUP, in order: the last file wins."""
+    while asked.get():
+        try:
+            owner.post(owner.reload, read(path))
+        except UnusableError as wrong:
+            logger.error("the old configuration stays: {}", wrong)
+
+
 def serve(path: str | None) -> int:
     threading.stack_size(256 * 1024)
+    asked: queue.SimpleQueue[bool] = queue.SimpleQueue()  # its put may interrupt itself, as a signal does
+    signal.signal(signal.SIGHUP, lambda *_: asked.put(True))
     owner = make(read(path))
+    threading.Thread(target=reread, args=(path, asked, owner), daemon=True).start()
     signal.signal(signal.SIGTERM, lambda *_: owner.post(owner.stop))
     signal.signal(signal.SIGUSR1, lambda *_: owner.post(owner.report))
     try:
--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -35,7 +35,7 @@
 FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
 DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
 SWEEP = 5000  # span of the periodic work
-RAN = ("error", "timeout", "reset", "cancelled")  # outcomes after which a dispatch may have run
+RAN = ("error", "timeout", "reset", "spoilt", "cancelled")  # outcomes after which a dispatch may have run
 
 
 class Vhost:
@@ -191,6 +191,8 @@
         if outcome in RAN and req.first_ran is None:
             req.first_ran, req.ran_at = req.sent, be
         lost = outcome == "cancelled" and not be.suspect and be.heard >= req.sent  # it answers others
+        if outcome in ("spoilt", "unsent"):  # chance, wherever it goes; what was spoilt lies ready there now
+            return self._walk(req)
         if note not in (6, 7, 8, 10) and not lost:
             req.avoid.append(be)
         if note != 9 and source is not be:
@@ -208,8 +210,7 @@
 
     def purged(self, key: str, group: int, age: int) -> None:
         """An object, or without a key a whole group, was purged."""
-        at = self.host.now() - age
-        self.purges[key or group] = max(at, self.purges.get(key or group, at))
+        self.purges[key or group] = max(self.host.now() - age, self.purges.get(key or group, 0))
 
     def checked(self, be: Be, took: int, outcome: str, load: list[float]) -> None:
         """A health check is answered: how crowded is it? By what it holds over what it held when partly busy;
@@ -306,8 +307,7 @@
         age = vhost.fresh + vhost.grace if vhost.fresh else 0
         purges = [at for at in (self.purges.get(req.key), self.purges.get(req.group)) if at is not None]
         if purges and now - max(purges) <= self.purge_done:
-            since = max(1, now - max(purges) - 1)
-            age = min(age, since) if age else since
+            age = min(age or math.inf, max(1, now - max(purges) - 1))
         return age
 
     def _held(self, req: Req, be: Be) -> bool:
@@ -436,7 +436,7 @@
         if outcome in ("miss", "full") or (outcome == "done" and not (be.suspect and late)):
             self._clear(be)  # but an answer far too late brings back no suspect
         filled = note in (2, 3, 6, 7, 10) if note else req.fill
-        if outcome not in ("cancelled", "unsent", "miss"):
+        if outcome not in ("cancelled", "unsent", "spoilt", "miss"):
             self.late += LEARN * (late - self.late)
             # a cache whose hits are late as well is to blame for its late fills: it grows slow, or is crowded
             filled = filled and not (late and be.way.late > TOLERATED)
@@ -453,7 +453,7 @@
                 if req is trial and (note or not self.direct):
                     self._clear(source)
         elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
-            self._strike(be, now, 2 if outcome in ("unreached", "reset") else 1)  # a closed door tells more
+            self._strike(be, now, 1 + (outcome == "unreached"))  # a closed door tells more
         elif note == 7:
             self._doubt(source, now)
 
--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -77,19 +78,21 @@
         self.lines: list[Line] = []
 
     def line(self, sent: Sent) -> Line | None:
-        """A connection with room that has not carried this req before, nor carries another under its name
-        (two clients may send the same one): on a connection an id means one dispatch."""
-        for line in self.lines:
-            if (
-                len(line.out) < self.back.streams
-                and not line.shunned
-                and line.end is None
-                and sent.name not in line.out
-                and not (sent.call and line in sent.call.lines)
-            ):
-                return line
-        if len(self.lines) >= self.back.most:
-            return None
+        """A connection for a dispatch: the one idle for the shortest time, else a new one, else the one with
+        least out, so that what breaks one takes little else along. None that carried this req before, nor
+        carries another under its name (two clients may send the same one): an id means one dispatch there."""
+        fitting = [
+            line
+            for line in self.lines
+            if len(line.out) < self.back.streams
+            and not line.shunned
+            and line.end is None
+            and sent.name not in line.out
+            and not (sent.call and line in sent.call.lines)
+        ]
+        best = min(fitting, key=lambda line: (len(line.out), -line.used), default=None)
+        if (best and not best.out) or len(self.lines) >= self.back.share():
+            return best
         try:
             line = Line(
                 self,
@@ -103,7 +106,7 @@
             if not self.back.counts["unmade"]:
                 logger.error("no connection to {}: {}", self.be.name, wrong)
             self.back.counts["unmade"] += 1
-            return None
+            return best
         self.lines.append(line)
         self.back.counts["connections"] += 1
         line.used = self.back.now()
@@ -132,7 +135,7 @@
         self.post, self.now, self.ended = post, now, ended
         self.streams, self.patience = limits["streams_per_conn"] or 1, limits["connect_timeout"]
         self.idle = max(limits["keepalive"] - self.patience, self.patience)  # before they close it crosswise
-        self.most = most  # connections to one be
+        self.most = most  # connections in all
         self.names = config["stats"]["names"]
         self.pools: dict[Be, Pool] = {}
         self.checks = 0
@@ -157,6 +160,10 @@
         if pool:
             pool.retire()
 
+    def share(self) -> int:
+        """Connections that one pool may have."""
+        return max(2, self.most // max(1, len(self.pools)))
+
     # --- sending ---
 
     def dispatch(self, sent: Sent) -> End | None:
@@ -259,15 +266,20 @@
         for sent in out.values():
             written = line.up and sent.place <= line.written
             end = line.end or End.FAULT
+            if end in (End.CLOSED, End.RESET) and line.buffer.partial():
+                end = End.GARBLED  # cut off within an answer, and nothing more of it will come
             if not written and end not in (End.REFUSED, End.UNMADE):
                 end = End.UNWRITTEN
             self.ended(sent, end, 0, 0, [], b"")
 
     def sweep(self) -> None:
-        """Give back what has long been idle."""
-        now = self.now()
+        """End what stands still within an answer, as nothing on it will come any more; give back what has
+        long been idle."""
+        now, still = self.now(), time.monotonic() - self.patience / TENTHS
         for pool in self.pools.values():
             for line in pool.lines:
+                if line.buffer.partial() and line.came < still:
+                    line.close(End.GARBLED)
                 if not line.out and now - line.used >= self.idle:
                     line.close(End.RETIRED)
 
--- a/lilacloft/net/conn.py
+++ b/lilacloft/net/conn.py
@@ -10,6 +10,7 @@
 import contextlib
 import socket
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from enum import Enum, auto
@@ -47,10 +48,10 @@
 OUTCOMES = {  # the one place where ends become the module's outcomes
     End.REFUSED: "unreached",
     End.UNMADE: "unreached",
-    End.UNWRITTEN: "unreached",
+    End.UNWRITTEN: "unsent",
     End.CLOSED: "reset",
     End.RESET: "reset",
-    End.GARBLED: "reset",
+    End.GARBLED: "spoilt",
     End.CHOKED: "reset",
     End.SILENT: "timeout",
     End.RETIRED: "reset",
@@ -91,6 +92,7 @@
         self.writing = False
         self.drained = threading.Condition(self.lock)
         self.end: End | None = None
+        self.came = time.monotonic()  # when it last brought anything
         self.over = False  # the reading thread has ended
 
     def start(self) -> None:
@@ -230,6 +232,7 @@
                 if not self.buffer.fill(self.sock):
                     end = End.CLOSED
                     break
+                self.came = time.monotonic()
                 while (items := self.buffer.take()) is not None:
                     self.takes(self, items)
         except GarbledError:
--- a/lilacloft/net/feed.py
+++ b/lilacloft/net/feed.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 import threading
@@ -21,6 +22,7 @@
 PURGES = {3: struct.Struct(">QQ"), 4: struct.Struct(">HQ")}
 LARGEST = RECORD.size << 16  # cells are told in two bytes: no list is longer than that
 BEAT = 1.0  # seconds between two frames at most
+SILENCE = 2 * BEAT  # a live log is never silent for so long; what it withholds is soon held against us
 STATUS = {"active": 1, "leaving": 2, "left": 0}
 STATES = (1, 2, 0)  # the same in frames
 
@@ -89,29 +91,49 @@
     def __init__(self, address: tuple[str, int], last: int, told: Callable[[Event], None]) -> None:
         self.address, self.last, self.told = address, last, told
         self.connects = self.events = 0
+        self.moved = threading.Event()
+        self.sock: socket.socket | None = None
 
     def start(self) -> None:
         threading.Thread(target=self._run, daemon=True).start()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Follow it at another address from now on, from the last event held; called by the owner."""
+        if address != self.address:
+            self.address = address
+            self.moved.set()
+            sock = self.sock
+            if sock is not None:
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)  # wakes the thread: the old one tells nothing more
+
     def _run(self) -> None:
-        pause, wait, told = BEAT / 32, threading.Event(), False
+        pause, told = BEAT / 32, False
         while True:
-            events, connects = self.events, self.connects
+            connects = self.connects
+            self.moved.clear()
             try:
                 self._follow()
             except (OSError, GarbledError) as wrong:
-                if self.connects > connects or not told:  # not with every try
+                if self.moved.is_set():
+                    logger.info("change log: followed at another address after event {}", self.last)
+                elif self.connects > connects or not told:  # not with every try
                     logger.warning("change log: {} after event {}", wrong, self.last)
                 told = True
             except Exception:
                 logger.exception("the change log's thread failed")
-            pause = BEAT / 32 if self.events > events else min(2 * pause, BEAT)
-            wait.wait(pause)
+            # one that could be connected to is asked again at once: each moment without it counts against us
+            fresh = self.connects > connects or self.moved.is_set()
+            pause = BEAT / 32 if fresh else min(2 * pause, BEAT / 2)
+            self.moved.wait(pause)
 
     def _follow(self) -> None:
         """One connection, until it ends."""
-        with socket.create_connection(self.address, BEAT) as sock:
-            sock.settimeout(3 * BEAT)  # a live one is never silent for so long
+        with socket.create_connection(self.address, BEAT / 2) as sock:
+            self.sock = sock
+            if self.moved.is_set():  # meanwhile: this may be the old one
+                return
+            sock.settimeout(SILENCE)
             sock.sendall(struct.pack(">Q", self.last))
             self.connects += 1
             with sock.makefile("rb") as stream:
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -35,6 +35,13 @@
     return host, int(port)
 
 
+def budgets(limits: dict[str, Any]) -> tuple[int, int, int]:
+    """What a gateway may hold: bytes that wait for clients, clients' connections, caches' connections.
+    Clients hold a third of the descriptors at most, and what closes counts for a while."""
+    sockets = int(limits["sockets"])
+    return int(limits["memory_mb"] * 1e6) // 4, sockets // 2, sockets // 3
+
+
 class Owner:
     """The Host of one gateway."""
 
@@ -56,16 +63,12 @@
         self.vhosts = self.config["vhosts"]
         self.slack = self.config["rules"]["answer_slack"]
         self.longest = max(vhost["client_timeout"] for vhost in self.vhosts)
-        sockets = int(config["limits"]["sockets"])
-        self.spare = int(config["limits"]["memory_mb"] * 1e6) // 4  # bytes that may wait for clients in all
+        self.given = {name: config[name] for name in ("listen", "settings")}  # what a reload cannot change
         last = config["known"]["seq"]
         events = list(known(config["known"]["results"], self.config["zones"], self.config["kinds"]))
-        bes = {entry[0] for _, (what, told) in events if what != "purge" for entry in told}
-        # clients hold a third at most, and what closes counts for a while; the caches get a third
-        self.back = Back(
-            self.post, self.now, self.back_ended, self.config, max(2, sockets // 3 // max(1, len(bes)))
-        )
-        self.front = Front(self.post, self, address(self.listen), self.vhosts, sockets // 2)
+        self.spare, clients, caches = budgets(config["limits"])
+        self.back = Back(self.post, self.now, self.back_ended, self.config, caches)
+        self.front = Front(self.post, self, address(self.listen), self.vhosts, clients)
         self.feed = Feed(address(config["changelog"]), last, lambda event: self.post(self.told, event))
         self._tick()
         self.router = Router(self, self.config)
@@ -142,6 +145,19 @@
         for call in list(self.calls.values()):
             self.router.give_up(call.req)
 
+    def reload(self, config: dict[str, Any]) -> None:
+        """The configuration was read again: what may change is taken over whole, or not at all."""
+        try:
+            place, found = address(config["changelog"]), budgets(config["limits"])
+            fixed = [name for name, given in self.given.items() if config[name] != given]
+        except (KeyError, ValueError, TypeError, AttributeError) as wrong:
+            logger.error("the old configuration stays: it cannot be used: {!r}", wrong)
+            return
+        self.spare, self.front.most, self.back.most = found
+        self.feed.move(place)
+        logger.info("the configuration was read again{}", "; changed, but kept till a restart: " * bool(fixed)
+                    + ", ".join(fixed))
+
     def at(self, when: int, what: Callable[..., None], *told: Any) -> None:
         """Call at a time or after it."""
         self.timed += 1
--- a/lilacloft/net/resp.py
+++ b/lilacloft/net/resp.py
@@ -45,6 +45,10 @@
                 self.data.extend(bytes(min(len(self.data), 2 * LARGEST)))
         return memoryview(self.data)[self.end :]
 
+    def partial(self) -> bool:
+        """Is a message in hand, but not whole?"""
+        return self.end > self.start
+
     def _shift(self) -> None:
         """Move what is held to the front."""
         if self.start:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,11 +15,14 @@
 import time
 import zlib
 
+from loguru import logger
+
 from lilacloft.decide import Router
 from lilacloft.net.resp import Buffer, encode, listed
 from lilacloft.state import Be, Req
 
 SEC = 10_000
+logger.remove()  # threads of earlier tests may log when the test runner's standard error is gone
 
 
 def vhost(effect="replayable", **more):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -72,6 +72,36 @@
     assert all(last(model, model.ask("k"))[1] is not home for _ in range(5))
 
 
+def test_spoilt_and_unsent_dispatches_go_to_the_same_cache_again_and_blame_none():
+    model = Model(settings())
+    req = model.ask()
+    home, source = model.sends[-1][2:]
+    for outcome in ("spoilt", "unsent"):
+        model.end(req, outcome)
+        assert model.sends[-1][1:] == (req, home, source) and not home.strikes
+    model.end(req)
+    limit = home.way.limit
+    for number in range(40):  # nor does chance narrow any limit
+        req = model.ask(f"other {number}")
+        for _ in range(3):
+            model.end(req, "spoilt")
+        assert req.closed
+    assert not any(be.suspect for be in model.caches) and home.way.limit == limit and not model.wrong
+
+
+def test_a_reset_alone_leaves_no_cache_alone_but_a_closed_door_does():
+    model = Model(settings())
+    req = model.ask()
+    home = model.sends[-1][2]
+    model.end(req, "reset")
+    assert not home.suspect
+    while not home.suspect:
+        req = model.ask()
+        assert model.sends[-1][2] is home
+        model.end(req, "unreached")
+    assert not model.wrong
+
+
 def test_a_suspect_gets_one_trial_at_a_time_and_returns_with_its_answer():
     model = Model(settings())
     home = homes(model, "k")[0]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,7 +10,7 @@
 import types
 
 import pytest
-from rig import ENV, Asker, Stand, World, encode, record, serves
+from rig import ENV, Asker, Log, Stand, World, encode, record, serves
 
 from lilacloft.__main__ import main
 from lilacloft.net.back import Back, Sent
@@ -111,6 +111,43 @@
     assert asker.answer()[:2] == [tag, b"503"]
 
 
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda stand, sock, good: sock.sendall(b"\x00noise\r\n"),
+        lambda stand, sock, good: sock.sendall(good[: len(good) // 2]),  # stops short and stays open
+        lambda stand, sock, good: (sock.sendall(good[: len(good) // 2]), sock.shutdown(socket.SHUT_RDWR)),
+        lambda stand, sock, good: sock.sendall(good.replace(b"$200000", b"$3000000000")),
+        lambda stand, sock, good: stand.break_off(),  # reset before anything came
+    ],
+)
+def test_spoilt_answers_end_their_connection_and_blame_no_cache(world, spoil):
+    """Any cache may have them: its copies lie ready there, and another would have to fill them anew."""
+
+    def says(stand, sock, items):
+        good = encode(items[1], b"data", b"remark=TCP_HIT", CLIP)
+        stand.asked = getattr(stand, "asked", 0) + 1
+        spoil(stand, sock, good) if stand.asked == 2 else sock.sendall(good)
+
+    world = world(says, says)
+    asker = world.asker()
+    for key in [*range(6)] * 2:  # each cache's second answer is spoilt
+        tag = asker.ask(key=key, allow=3000)
+        assert asker.answer()[:2] == [tag, b"200"]
+    assert "left alone" not in world.stop()[1]
+
+
+def test_more_than_belongs_to_an_answer_is_passed_over(world):
+    def says(stand, sock, items):
+        good = encode(items[1], b"data", b"remark=TCP_HIT", b"good")
+        sock.sendall(encode(b"%016x" % 7, b"data", b"remark=TCP_HIT", b"bad") + good + good)
+
+    asker = world(says).asker()
+    for _ in range(3):
+        tag = asker.ask()
+        assert asker.answer() == [tag, b"200", b"", b"good"]
+
+
 def test_unusable_reqs_fail_alone_and_what_cannot_be_framed_ends_its_connection_alone(world):
     world = world()
     asker, other = world.asker(), world.asker()
@@ -194,12 +231,13 @@
     """Else the next dispatch of the req would be out beside the first."""
     events, server = queue.SimpleQueue(), socket.create_server(("127.0.0.1", 0))
     config = settings(ENV)
-    back = Back(lambda *event: events.put(event), lambda: 0, lambda *told: ends.append(told[:2]), config, 8)
+    back = Back(lambda *event: events.put(event), lambda: 0, lambda *told: ends.append(told[:2]), config, 2)
     be, ends = Be("s-1", status=1), []
     back.place(be, server.getsockname())
-    out = [Sent(None, be, 0, b"%d" % number, encode(b"do", b"x" * 240_000), 0) for number in range(30)]
+    out = [Sent(None, be, 0, b"%d" % number, encode(b"do", b"x" * 240_000), 0) for number in range(60)]
     assert not any(back.dispatch(sent) for sent in out)
     line = out[0].conn
+    out = [sent for sent in out if sent.conn is line]
     peer, _ = server.accept()
     until = time.monotonic() + 5
     while not line.writing and time.monotonic() < until:
@@ -302,6 +340,25 @@
         stand.close()
 
 
+def test_sighup_reads_the_configuration_again_and_an_unusable_one_leaves_the_old(world):
+    world = world()
+    asker, other = world.asker(), Log([(2, 4, struct.pack(">HQ", 7, 1))])
+    good = json.dumps({**world.config, "changelog": f"127.0.0.1:{other.port}", "listen": "127.0.0.1:1"})
+    for text in ("{", "[]", good.replace('"changelog"', '"log"'), good.replace("1024", '"x"')):
+        world.path.write_text(text)
+        os.kill(world.process.pid, signal.SIGHUP)
+        assert "the old configuration stays" in world.process.stderr.readline()
+    world.path.write_text(good)
+    for _ in range(3):
+        os.kill(world.process.pid, signal.SIGHUP)
+    assert other.since.get(timeout=5) == 1, "from the last event held"
+    tag = asker.ask()
+    assert asker.answer()[:2] == [tag, b"200"]
+    code, told = world.stop()
+    assert code == 0 and "kept till a restart: listen" in told and "events=1" in told
+    other.close()
+
+
 def test_sigterm_serves_on_answers_all_and_exits_with_its_counters(world):
     def slowly(stand, sock, items):
         time.sleep(0.4 if len(stand.socks) == 1 else 0)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,9 +5,10 @@
 import socket
 import struct
 import threading
+import time
 
 import pytest
-from rig import ENV, Stand, framed, record
+from rig import ENV, Log, Stand, framed, record
 
 from lilacloft.net import feed
 from lilacloft.net.conn import OUTCOMES, Conn, End
@@ -147,6 +148,22 @@
         assert got.empty()
 
 
+def test_the_change_log_is_asked_again_when_it_falls_silent_and_where_it_has_moved():
+    """An old one stays open and tells nothing more; so may one that hangs."""
+    first, second = Log(), Log([(5, 4, struct.pack(">HQ", 17, 1))])
+    got = queue.SimpleQueue()
+    follows = feed.Feed(("127.0.0.1", first.port), 4, got.put)
+    follows.start()
+    assert first.since.get(timeout=5) == 4
+    begun = time.monotonic()
+    assert first.since.get(timeout=5) == 4 and time.monotonic() - begun < 3, "held against us from 4 s on"
+    follows.move(("127.0.0.1", second.port))
+    assert second.since.get(timeout=1) == 4, "at once"
+    assert got.get(timeout=5) == ("purge", ("", 17, 1))
+    for log in (first, second):
+        log.close()
+
+
 def reset(sock):
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     sock.close()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -67,7 +67,7 @@
     "denied though it may have run": [("if not ran or vhost.effect", "if True or vhost.effect")],
     "cold cache pushed over": [("if not all(self._room(", "if False and not all(self._room("),
                                ("return self.count < limit and", "return True or")],
-    "older than a purge": [("age = min(age, since) if age else since", "pass")],
+    "older than a purge": [("age = min(age or math.inf, max(1, now - max(purges) - 1))", "pass")],
     "two final answers": [("        if req.closed:\n            return\n        vhost", "        vhost")],
     "answered too late": [("self._push(req.until - self.tick, req, -1)", "pass")],
 }
