--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -430,8 +430,6 @@
                trial: Req | None) -> None:
         """Judge a cache and its source by how a dispatch ended."""
         now, vhost = self.host.now(), self.vhosts[req.vhost]
-        if outcome == "error" and not note and not (req.obj and req.obj.home):
-            return  # nobody was ever answered here: it may be the nonsense of a client
         late = outcome != "done" or took > vhost.aim(req.work)
         if outcome in ("miss", "full") or (outcome == "done" and not (be.suspect and late)):
             self._clear(be)  # but an answer far too late brings back no suspect
@@ -440,7 +438,8 @@
             self.late += LEARN * (late - self.late)
             # a cache whose hits are late as well is to blame for its late fills: it grows slow, or is crowded
             filled = filled and not (late and be.way.late > TOLERATED)
-            if outcome != "reset":  # which comes at once, and tells of no crowd
+            # a reset tells of no crowd, nor do one req's further errors: nonsense of a client fails everywhere
+            if outcome != "reset" and (outcome != "error" or req.tries == 1):
                 ((req.way or self.link) if filled else be.way).heed(late, now, took, vhost.target)
         if outcome == "done":
             vhost.work += LEARN * ((req.kbytes / self.pace or took) - vhost.work)
@@ -453,7 +452,8 @@
                 source.late -= source.late / 4
                 if req is trial and (note or not self.direct):
                     self._clear(source)
-        elif outcome in ("unreached", "reset", "timeout") or (outcome == "error" and not note):
+        elif outcome in ("unreached", "reset", "timeout") or (
+                outcome == "error" and not note and req.obj and req.obj.home):  # else it may be the client's
             self._strike(be, now, 1 + (outcome == "unreached"))  # a closed door tells more
         elif note == 7:
             self._doubt(source, now)
