A gateway that lags judges no cache late, and refuses at once what lay unread too long

Lines at fault: decide.py _overdue (judges by the owner's clock), owner.py back_ended (counts the queue's time as the cache's). Now the owner tells the module how late its timers are, due checks wait as long, answers count from when they were read, and a req that lay unread for over an eighth of its target is refused at once, that of less value first.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -34,6 +34,7 @@
 GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target bears half the pace
 FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
 DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
+LAG = 1 / 8  # part of its target that a req may lie unread here: beyond, there is more than can be done
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "spoilt", "cancelled")  # outcomes after which a dispatch may have run
 
@@ -59,9 +60,8 @@
 class Limit:
     """How many dispatches of this gateway may be out at once on a way, as learned from what comes late.
 
-    Guards against crowding from any cause (jumps, retries, slow origins, full links, lost caches): work that
-    could only be late is refused early. Harms where answers are late for a reason that fewer dispatches do
-    not cure; it then falls below one at a time, and grows back with the first good answers."""
+    Guards against crowding from any cause: work that could only be late is refused early. Harms where fewer
+    dispatches cure nothing; it then falls below one at a time, and grows back with the first good answers."""
 
     def __init__(self, limit: float, least: float) -> None:
         self.limit, self.least, self.count, self.late, self.calm = limit, least, 0, 0.0, 0
@@ -111,7 +111,7 @@
         self.objs: dict[tuple[str, int], Obj] = {}
         self.purges: dict[str | int, int] = {}  # objects by key, groups by number: when purged
         self.due: list[tuple[int, int, Req, int]] = []  # (when, number, req, the dispatch it is about or -1)
-        self.pushed, self.armed = 0, math.inf  # how many so far; when the next wake comes
+        self.pushed, self.armed, self.caught_up = 0, math.inf, 0  # so far; next wake; runs late itself until
         self.asks = self.limits["probes"] and {"inflight", "util"} <= set(settings["stats"]["names"])
         self.names, self.arrivals = settings["stats"]["names"], 0
         self.late = 0.1  # part of answers late or lost, anywhere
@@ -152,6 +152,8 @@
     def arrived(self, req: Req) -> None:
         """A client asks."""
         vhost = self.vhosts[req.vhost]
+        if self.host.now() - req.arrived > LAG * vhost.target * vhost.value / (self.value or vhost.value):
+            return self.give_up(req)  # at once, and that of less value first: all it has is late else
         req.units = req.kbytes or 1.0
         self.unit += LEARN * (req.units - self.unit) if self.unit else req.units
         self.value += LEARN * (vhost.value - self.value)
@@ -224,6 +226,9 @@
                 crowd = told["inflight"] / be.holds
         be.crowd += (crowd - be.crowd) / 2
 
+    def lagged(self, late: int) -> None:
+        self.caught_up = self.host.now() + late  # it runs late itself, and judges nobody else to be so
+
     def heard(self, peer: int, text: str) -> None:
         """A peer has sent a message."""
 
@@ -264,8 +269,7 @@
             # a suspect parent's trial goes straight to it: through a cache a hit would pass for its answer
             ways = [(be, [be]) for be in parents[:1] if be.suspect and be not in req.avoid]
         sources = [be for be in sources if not (self.direct and be.suspect)]
-        fit = [be for be in tried if self._fit(be, self.caches, req)]
-        ways += [(be, sources) for be in fit + [be for be in tried if be not in fit]]
+        ways += [(be, sources) for be in sorted(tried, key=lambda be: not self._fit(be, self.caches, req))]
         if self.direct and (passed or all(be.suspect or not self._room(be, vhost.work) for be in tried)):
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
@@ -335,9 +339,8 @@
         fill = not look and (be is source or not self._held(req, be))
         way = None if not fill else source.way if held_only else self.link
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
-        if be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be):
-            return False
-        if not be.way.open(favour, now) or (way and not way.open(favour, now)):
+        if (be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be)
+                or not be.way.open(favour, now) or (way and not way.open(favour, now))):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
             return False
@@ -371,10 +374,8 @@
         now, back = self.host.now(), self.fall + self.tick
         while be.budget and be.budget[0][0] < now - back:
             be.budget.pop(0)
-        if be.kind == self.origin_kind:
-            return True
         floor, warm, multiple = self.cold_parent if be.kind == self.parent_kind else self.cold_cache
-        if not be.started or now - be.started >= warm:
+        if be.kind == self.origin_kind or not be.started or now - be.started >= warm:
             return True
         turn = max(work, *(vhost.work for vhost in self.vhosts))
         pace = min(MARGIN * multiple / 2, BRISK) * self._part(be) / turn
@@ -388,12 +389,10 @@
     def _part(self, be: Be) -> float:
         """This gateway's part of what a be can carry, in transfers at full pace."""
         parent = be.kind == self.parent_kind
-        if self.sizes_told:
-            capacity = be.size
-        elif parent:  # its link is made for what the locations' links bring in
-            capacity = sum(self.feed) / self.pace / max(1, len(self.parents)) / 1.3
-        else:  # a location's caches together send twice what its link brings in, else most reqs were fills
-            capacity = 2 * self.feed[self.zone] / self.pace / max(1, len(self.caches))
+        # a parent's link is made for what the locations' links bring in; a location's caches together send
+        # twice what its link brings in, else most reqs were fills
+        feed, by = (sum(self.feed) / 1.3, self.parents) if parent else (2 * self.feed[self.zone], self.caches)
+        capacity = be.size if self.sizes_told else feed / self.pace / max(1, len(by))
         return (capacity or 1.0) / (self.gateways if parent else self.zone_gateways)
 
     def _release(self, req: Req, be: Be) -> Be:
@@ -438,7 +437,7 @@
             self.late += LEARN * (late - self.late)
             # a cache whose hits are late as well is to blame for its late fills: it grows slow, or is crowded
             filled = filled and not (late and be.way.late > TOLERATED)
-            # a reset tells of no crowd, nor do one req's further errors: nonsense of a client fails everywhere
+            # a reset tells of no crowd, nor do further errors of a req: a client's nonsense fails everywhere
             if outcome != "reset" and (outcome != "error" or req.tries == 1):
                 ((req.way or self.link) if filled else be.way).heed(late, now, took, vhost.target)
         if outcome == "done":
@@ -497,6 +496,8 @@
 
     def _overdue(self, req: Req) -> None:
         """A dispatch takes far longer than its like."""
+        if self.host.now() < self.caught_up:
+            return self._push(self.caught_up, req, req.tries - 1)
         now, be, source, aim = self.host.now(), req.be, req.source, self.vhosts[req.vhost].aim(req.work)
         again = now >= req.sent + 2 * aim
         if be.heard < req.sent and not (req.fill and source.late > TOLERATED):
--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -15,7 +15,7 @@
 
 from lilacloft.net.conn import Conn, End
 from lilacloft.net.resp import GarbledError, encode, fields
-from lilacloft.settings import TENTHS
+from lilacloft.settings import NS, TENTHS
 from lilacloft.state import Be
 
 WORDS = {
@@ -235,16 +235,24 @@
                 raise ValueError("no number")
         except (ValueError, OverflowError):
             raise GarbledError("fields that cannot be read") from None
-        body = items[3] if len(items) > 3 else b""
-        self.post(self.answered, line, items[0], items[1], NOTES[note], waited, report, body)
+        body, at = items[3] if len(items) > 3 else b"", time.monotonic_ns() // NS
+        self.post(self.answered, line, at, items[0], items[1], NOTES[note], waited, report, body)
 
     def gone(self, line: Line) -> None:
         self.post(self.broken, line)
 
     def answered(
-        self, line: Line, name: bytes, word: bytes, note: int, waited: int, report: list[float], body: bytes
+        self,
+        line: Line,
+        at: int,
+        name: bytes,
+        word: bytes,
+        note: int,
+        waited: int,
+        report: list[float],
+        body: bytes,
     ) -> None:
-        """The owner's part of an answer."""
+        """The owner's part of an answer, which was read at a time by the steady clock."""
         line.heard = self.now()
         sent = line.out.get(name)
         if sent is None:
@@ -256,7 +264,7 @@
             return
         self.counts["answers"] += 1
         self._off(line, sent)
-        self.ended(sent, end, note, waited, report, body)
+        self.ended(sent, end, note, waited, report, body, at)
 
     def broken(self, line: Line) -> None:
         """A connection has ended; so has all that was out on it."""
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -100,7 +100,10 @@
             self._tick()
             event = self._next(max(0, self.timers[0][0] - self.time) / TENTHS)
             self._tick()
-            lags, self.lags = self.lags, self.time - self.timers[0][0] > self.slack
+            late = self.time - self.timers[0][0]
+            lags, self.lags = self.lags, late > self.slack
+            if self.lags:
+                self.router.lagged(late)
             if self.lags and not lags:
                 # the process was stopped, or starved: answers may lie unread, and no cache is to blame. Once
                 # only: where it lags turn after turn it has more to do than it can, and must not sleep
@@ -233,11 +236,12 @@
     # --- what the back brings ---
 
     def back_ended(
-        self, sent: Sent, end: End, note: int, waited: int, load: list[float], body: bytes
+        self, sent: Sent, end: End, note: int, waited: int, load: list[float], body: bytes, at: int = 0
     ) -> None:
-        """A dispatch or a check is over."""
+        """A dispatch or a check is over; its answer, if any, was read at a time by the steady clock, and that
+        it lay in the queue since is no fault of its cache."""
         self.ends[end.name] += 1
-        call, took = sent.call, self.time - sent.at
+        call, took = sent.call, max(0, self.time - sent.at - (max(0, self.steady - at) if at else 0))
         if call is None:
             return self.router.checked(sent.be, took, OUTCOMES[end], load)
         call.sent = None
