--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -84,6 +84,16 @@
             self.limit, self.calm = max(self.least, CUT * min(self.limit, self.count + 1)), now + span
 
 
+def turn(req: Req, be: Be) -> float:
+    """An object's place, 0.5 to 1.5, in the order in which objects leave a crowded cache."""
+    return 0.5 + zlib.crc32(f"{req.key} {req.part} {be.name}".encode()) / 2**32
+
+
+def sized(req: Req) -> bool:
+    """Is its sending time known? Else a long answer may be but a large one."""
+    return bool(req.kbytes or req.obj is None or req.obj.work)
+
+
 class Router:
     """One gateway's decisions."""
 
@@ -290,14 +300,9 @@
             return -math.log((drawn + 1) / 2**64) / be.size
         return sorted(pool, key=draw)
 
-    @staticmethod
-    def _turn(req: Req, be: Be) -> float:
-        """An object's place, 0.5 to 1.5, in the order in which objects leave a crowded cache."""
-        return 0.5 + zlib.crc32(f"{req.key} {req.part} {be.name}".encode()) / 2**32
-
     def _fit(self, be: Be, pool: list[Be], req: Req) -> bool:
         """The bound: too much of this gateway's own in flight there, or the cache known to be crowded?"""
-        if be.crowd > 0.5 and be.crowd > self._turn(req, be) * max(
+        if be.crowd > 0.5 and be.crowd > turn(req, be) * max(
                 GENEROUS, EVEN * sum(peer.crowd for peer in pool) / len(pool)):
             return False
         mean = sum(peer.load for peer in pool) / sum(peer.size for peer in pool)
@@ -339,7 +344,7 @@
         fill = not look and (be is source or not self._held(req, be))
         way = None if not fill else source.way if held_only else self.link
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
-        if (be.crowd > max(1.0, GENEROUS * favour) * self._turn(req, be)
+        if (be.crowd > max(1.0, GENEROUS * favour) * turn(req, be)
                 or not be.way.open(favour, now) or (way and not way.open(favour, now))):
             return False
         if not all(self._room(peer, vhost.work) for peer in touched):
@@ -501,22 +506,17 @@
         now, be, source, aim = self.host.now(), req.be, req.source, self.vhosts[req.vhost].aim(req.work)
         again = now >= req.sent + 2 * aim
         if be.heard < req.sent and not (req.fill and source.late > TOLERATED):
-            if again or self._sized(req):  # nothing since, and no slow source explains it: the cache
+            if again or sized(req):  # nothing since, and no slow source explains it: the cache
                 self._strike(be, now)
-            if again and self._sized(req):
+            if again and sized(req):
                 return self._recall(req)
-        elif req.fill and source is not be and again != self._sized(req):
+        elif req.fill and source is not be and again != sized(req):
             self._doubt(source, now)  # the cache answers others: its source
         if not again:
             self._push(req.sent + 2 * aim, req, req.tries - 1)
-        elif not req.fill and self._sized(req):  # a likely hit's answer is lost, though others come
+        elif not req.fill and sized(req):  # a likely hit's answer is lost, though others come
             self._recall(req)
 
-    @staticmethod
-    def _sized(req: Req) -> bool:
-        """Is its sending time known? Else a long answer may be but a large one."""
-        return bool(req.kbytes or req.obj is None or req.obj.work)
-
     def _recall(self, req: Req) -> None:
         """Call a dispatch back; its outcome sends the req on. Only where that can do no harm."""
         if req.out and self.can_cancel and not req.flowing and self.vhosts[req.vhost].effect == "replayable":
@@ -530,6 +530,8 @@
         self._arm()
 
     def _arm(self) -> None:
+        while self.due and (self.due[0][2].closed or self.due[0][3] not in (-1, self.due[0][2].tries - 1)):
+            heapq.heappop(self.due)  # what is over wakes nobody
         if self.due and self.due[0][0] < self.armed:
             self.armed = self.due[0][0]
             self.host.wake(self.armed, "due")
--- a/lilacloft/net/conn.py
+++ b/lilacloft/net/conn.py
@@ -18,7 +18,7 @@
 
 from loguru import logger
 
-from lilacloft.net.resp import FROM_CACHE, LARGEST, Buffer, GarbledError
+from lilacloft.net.resp import FROM_CACHE, LARGEST, MIDDLE, Buffer, GarbledError
 
 
 class End(Enum):
@@ -79,12 +79,13 @@
         address: tuple[str, int] = ("", 0),
         patience: float = 0.0,
         sizes: tuple[int, ...] = FROM_CACHE,
+        small: int = MIDDLE,
     ) -> None:
         self.takes, self.gone = takes, gone  # both are called by the reading thread
         self.sock = sock or socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.address, self.patience = address, patience
         self.up = sock is not None
-        self.buffer = Buffer(sizes)
+        self.buffer = Buffer(sizes, small)
         self.lock = threading.Lock()
         self.backlog: deque[tuple[int, memoryview]] = (
             deque()
--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 from lilacloft.net.conn import Conn, End
-from lilacloft.net.resp import FROM_CLIENT, LARGEST, GarbledError, encode, fields, listed
+from lilacloft.net.resp import FROM_CLIENT, LARGEST, SMALL, GarbledError, encode, fields, listed
 from lilacloft.settings import NS
 
 OWED = 3.0  # seconds in which a client that brings nothing usable is owed an end, by the protocol
@@ -31,7 +31,7 @@
     """A client's connection."""
 
     def __init__(self, post: Callable[..., None], garbled: Callable[..., None], *args: Any) -> None:
-        super().__init__(*args, sizes=FROM_CLIENT)
+        super().__init__(*args, sizes=FROM_CLIENT, small=SMALL)
         self.post, self.garbled = post, garbled
         self.said = self.offences = 0  # whole messages so far, and those of no use since the last req
         self.taken = self.settled = 0  # reqs so far, by the reader; those with no more owed, by the owner
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -63,7 +63,7 @@
         self.listen = config["listen"]
         self.config = settings(config["settings"])
         self.vhosts = self.config["vhosts"]
-        self.slack = self.config["rules"]["answer_slack"]
+        self.slack, self.grain = self.config["rules"]["answer_slack"], self.config["granularity"]
         self.longest = max(vhost["client_timeout"] for vhost in self.vhosts)
         self.given = {name: config[name] for name in ("listen", "settings")}  # what a reload cannot change
         last = config["known"]["seq"]
@@ -97,9 +97,12 @@
         self.feed.start()
         self.sweep()
         while not self._over():
+            while self.timers[0][2] == self._time_up and self.timers[0][3][0].conn is None:
+                heapq.heappop(self.timers)  # what is over wakes nobody
             self._tick()
             event = self._next(max(0, self.timers[0][0] - self.time) / TENTHS)
             self._tick()
+            began = self.steady
             late = self.time - self.timers[0][0]
             lags, self.lags = self.lags, late > self.slack
             if self.lags:
@@ -118,6 +121,11 @@
             while self.timers and self.timers[0][0] <= self.time:
                 _, _, what, told = heapq.heappop(self.timers)
                 self._do(what, told)
+            # one turn in each tick of the settings: under load one takes in several events, where waking
+            # for each would cost more than all else that a req costs
+            rest = began + self.grain - time.monotonic_ns() // NS
+            if rest > 0:
+                time.sleep(rest / TENTHS)
 
     def _do(self, what: Callable[..., None], told: tuple[Any, ...]) -> None:
         """One thing that has happened or is due, and what the module's calls lead to. A fault of ours in one
--- a/lilacloft/net/resp.py
+++ b/lilacloft/net/resp.py
@@ -17,6 +17,7 @@
 FROM_CACHE = (20, 16, 4 * LARGEST_LIST, LARGEST)
 LINE = 16  # the longest length line, its end included
 SMALL = 4096  # what a buffer holds at first, and again once it is empty
+MIDDLE = 8 * SMALL  # the same towards caches: most answers come in one read, as each is a thread's waking
 
 
 class GarbledError(Exception):
