--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -34,7 +34,7 @@
 GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target bears half the pace
 FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
 DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
-LAG = 1 / 8  # part of its target that a req may lie unread here: beyond, there is more than can be done
+LAG = 0.5  # part of its target that a req may lie unread here: beyond, there is more than can be done
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "spoilt", "cancelled")  # outcomes after which a dispatch may have run
 
