--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,7 +3,7 @@
 from rig import SEC, Model, settings
 
 from lilacloft.decide import Limit
-from lilacloft.state import Be
+from lilacloft.state import Be, Req
 
 
 def last(model, req):
@@ -108,6 +108,37 @@
     assert not model.wrong
 
 
+def test_a_gateway_that_lags_blames_no_cache_and_refuses_what_lay_unread_for_long():
+    """Else answers that lie unread here count as late, and cache after cache is left alone for it."""
+    model = Model(settings())
+    reqs = [model.ask("k", left=4 * SEC) for _ in range(4)]
+    home = last(model, reqs[0])[1]
+    model.time += 7000  # held up: nothing was read, and all is due
+    model.router.lagged(7000)
+    model.run(1)
+    assert not home.strikes and all(model.out(req) for req in reqs)
+    for req in reqs:
+        model.end(req, took=1000)
+    model.run(7000)
+    assert not home.suspect
+    req = Req("k", 0, 1, 400.0, model.time - 3000, model.time + SEC, 0)
+    model.history[req] = []
+    model.router.arrived(req)
+    assert req.closed and model.finals[-1] == (req, model.time), "at once"
+    assert not model.ask("k").closed and not model.wrong
+
+
+def test_what_is_over_wakes_nobody():
+    """Under a rush the due times of reqs long answered would wake the owner more often than all else."""
+    model = Model(settings())
+    for number in range(50):
+        model.end(model.ask(f"object {number}"), took=10)
+    waits = model.ask("waits")
+    model.wakes.clear()
+    model.router.woke("due")
+    assert [entry[2] for entry in model.router.due][:1] == [waits] and len(model.router.due) < 50 + 4
+
+
 def test_a_suspect_gets_one_trial_at_a_time_and_returns_with_its_answer():
     model = Model(settings())
     home = homes(model, "k")[0]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -513,6 +513,23 @@
     assert owner.now() == unix[0] // 100_000
 
 
+def test_an_answer_counts_from_when_it_was_read_and_a_fault_ends_one_event_only(monkeypatch, world):
+    owner = Owner({**world().config, "listen": "127.0.0.1:0"})
+    told, be = [], owner.bes["s-00000001"]
+    monkeypatch.setattr(owner.router, "ended", lambda *args: told.append(args[4]))
+    call = types.SimpleNamespace(req=types.SimpleNamespace(closed=True), tag=b"1", client=None)
+    monkeypatch.setattr(owner.front, "close", lambda _: False)
+    owner._tick()
+    sent = Sent(call, be, 0, b"1", b"", owner.time - 3000)
+    owner.back_ended(sent, End.DATA, 1, 0, [], b"", owner.steady - 2000)
+    owner.back_ended(sent, End.TIME_UP, 0, 0, [], b"")
+    assert told == [1000, 3000]
+    seen = []
+    owner._do(lambda: 1 // 0, ())
+    owner._do(seen.append, (1,))
+    assert seen == [1] and owner.counts["faults"] == 1
+
+
 @pytest.mark.parametrize(
     "word, broken, told",
     [
