--- a/lilacloft/cli/plan.py
+++ b/lilacloft/cli/plan.py
@@ -20,7 +20,9 @@
 @click.option("--name", required=True)
 @click.option("--planners", required=True, metavar="NAME=ADDR,...", help="all planners, this one among them")
 @click.option("--store", "folder", default="", metavar="DIR", help="keeps epochs over its ends")
-def serve(config: str | None, name: str, planners: str, folder: str) -> int:
+@click.option("--leave", type=click.Choice(["past", "never"]), default="never", show_default=True,
+              help="leave whole locations that fail, past their caches")
+def serve(config: str | None, name: str, planners: str, folder: str, leave: str) -> int:
     """Run one planner until SIGTERM."""
     from lilacloft.config.addresses import named
     from lilacloft.plan.serve import Process
@@ -33,7 +35,7 @@
     if name not in places:
         raise click.UsageError(f"{name} is none of the planners {', '.join(places)}")
     try:
-        process = Process(name, serving.read(config), places, folder)
+        process = Process(name, serving.read(config), places, folder, leave == "past")
     except (KeyError, ValueError, TypeError, OSError, StoreError) as wrong:
         raise errors.UnusableError(f"the planner cannot be started: {wrong}") from wrong
 
@@ -90,7 +92,7 @@
 @click.argument("address")
 @click.argument("what")
 def explain(address: str, what: str) -> int:
-    """Say who decided what of a be, from which sights, under which plan."""
+    """Say who decided what of a be, or of a whole location (`zone 3`, in quotes), and on what evidence."""
     return asked(address, f"explain {what}")
 
 
--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -124,6 +124,7 @@
         self.value = self.work = self.unit = 0.0  # of a mean req: value, sending time, bytes (1 where untold)
         self.subscribes, self.late = settings["discovery"] == "subscribe", 0.1  # part of answers late or lost
         self.left_out, self.shares, self.yielded = {}, {}, False  # by a plan; another process is the gateway
+        self.away: Mapping[int, Any] = {}  # locations that a plan leaves, or has not all back yet
         for token in ["subscribe"] * self.subscribes + ["sweep"]:
             self.woke(token)
 
@@ -256,9 +257,15 @@
         """Another process is this gateway now, or no more: cold starts and renewals are left to it."""
         self.yielded = on
 
-    def planned(self, out: dict[str, int], ways: Mapping[str, float], link: float, shares: Any) -> None:
-        """What a plan sets (lilacloft/plan/): who is left alone until when, limits, parts of cold budgets."""
+    def planned(self, out: dict[str, int], ways: Mapping[str, float], link: float, shares: Any,
+                left: Mapping[int, Any] | None = None) -> None:
+        """What a plan sets (lilacloft/plan/): who is left alone until when, limits, parts of cold budgets,
+        which objects are away from which locations (lilacloft/zones/)."""
         self.link.top, self.shares = link or math.inf, shares
+        before, self.away = self.away, left or {}
+        for be in self.known:
+            if be.zone in self.away and be.zone not in before and be.kind != self.origin_kind:
+                self._leave(be)
         for be in self.known:
             if be.way:
                 be.way.top = ways.get(be.name, math.inf)
@@ -268,6 +275,17 @@
                 self._clear(be)
         self.left_out = out
 
+    def _leave(self, be: Be) -> None:
+        """Its whole location is left: what it showed is not its own doing, and what waits for it goes on."""
+        if be.suspect:
+            self.host.believe(be, "back", "its location is left")
+        be.strikes, be.backoff, be.suspect, be.late = 0, 0, False, 0.0
+        if be.way:
+            be.way.limit, be.way.late = max(be.way.limit, GENEROUS * self._part(be)), 0.0
+        for req in list(be.reqs):
+            if req.be is be or req.fill:
+                self._recall(req)
+
     # --- the walk ---
 
     def _walk(self, req: Req) -> None:
@@ -277,7 +295,11 @@
             return self.give_up(req)
         passed = vhost.uncacheable or req.write
         place = f"{req.key} {req.part}"  # by part for both: all of one hot object would weigh on one parent
+        away = {zone for zone, left in self.away.items()
+                if left.away(place, vhost.effect == "replayable" and not passed, now)}
         homes, parents = self._order(self.caches, place), self._order(self.parents, place)
+        parents = [be for be in parents if be.zone not in away]
+        gone = self.zone in away and self.direct
         fitting = [be for be in parents if self._fit(be, self.parents, req)]
         sources = self.origins if passed else fitting + self.origins
         sources = [be for be in sources if be not in req.avoid] or self.origins
@@ -288,15 +310,16 @@
             ways = [(be, [be]) for be in parents[:1] if be.suspect and be not in req.avoid]
         sources = [be for be in sources if not (self.direct and be.suspect)]
         ways += [(be, sources) for be in sorted(tried, key=lambda be: not self._fit(be, self.caches, req))]
-        if self.direct and (passed or all(be.suspect or not self._room(be, vhost.work) for be in tried)):
+        if self.direct and (passed or gone or all(
+                be.suspect or not self._room(be, vhost.work) for be in tried)):
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
-            ways = over + ways if passed else ways + over
+            ways = over if gone else over + ways if passed else ways + over
         if any(self._send(req, be, source) for be, fills in ways for source in fills):
             return
         # no room for a fill: what the home holds costs the link nothing; a miss there comes back at once, and
         # once, as nothing of it lies there a moment later
-        if passed or req.looked or not homes or homes[0] in req.avoid or not (
+        if passed or gone or req.looked or not homes or homes[0] in req.avoid or not (
                 any(self._send(req, homes[0], parent, True) for parent in parents[:1])
                 or self._send(req, homes[0], homes[0])):
             self.give_up(req)
@@ -454,7 +477,8 @@
             # a cache whose hits are late as well is to blame for its late fills: it grows slow, or is crowded
             filled = filled and not (late and be.way.late > TOLERATED)
             # a reset tells of no crowd, nor do further errors for an object: a client's nonsense always fails
-            if outcome != "reset" and (outcome != "error" or req.tries == (obj.seen if obj else 1) == 1):
+            if outcome != "reset" and not self._proving(be) and (
+                    outcome != "error" or req.tries == (obj.seen if obj else 1) == 1):
                 way = (req.way or self.link) if filled else be.way
                 was, _ = way.limit, way.heed(late, now, took, vhost.target)
                 self.host.limited(be if way is be.way else req.source, was, way.limit, way.late)
@@ -496,8 +520,14 @@
         if source.suspect or (source.late > 0.5 and other < TOLERATED):
             self._suspect(source, now)
 
+    def _proving(self, be: Be) -> bool:
+        """Do only trials of its whole location go there? They are dealt, and judged, elsewhere."""
+        return be.zone in self.away and self.away[be.zone].proving
+
     def _suspect(self, be: Be, now: int, sure: bool = False) -> None:
         """Leave a be to single trials, more and more sparsely, and call back what waits for it."""
+        if self._proving(be):
+            return
         others = sum(peer.suspect for peer in self.caches if peer is not be)
         if be.kind == self.origin_kind or (be in self.caches and not sure and 2 * others >= len(self.caches)):
             for peer in self.caches:  # what most of a location shows is not its caches' doing, unless their
--- a/lilacloft/emulator/faults.py
+++ b/lilacloft/emulator/faults.py
@@ -6,10 +6,11 @@
     (at 2s (silent (cache 3)) (for 5s))
     (at 0s (slow origin 4) (for 10s))
     (at 3s (drain (shelf 1)) (for 8s))
-    (at 1s (purge (object o3)) (times 4))
+    (at 1s (purge (object o3) 4))
 
-Whom: `(cache N)`, `(parent N)`, `(gateway N)`, `(zone N)`, `(shelf N)` (the caches of a cell), `(version N)`
-(every so many-th box, as if they ran one program), `origin`, `log`, `all`. A world that has no such one is
+Whom: `(cache N)`, `(parent N)`, `(gateway N)`, `(zone N)` (its caches), `(hub N)` (its parents),
+`(shelf N)` (the caches of a cell), `(version N)` (every so many-th box, as if they ran one program),
+`origin`, `log`, `all`. A world that has no such one is
 left alone by it: so a fault that is drawn for a large world stays readable for a small one. No I/O; times in
 tenths of a millisecond.
 """
@@ -36,17 +37,18 @@
 
 
 BOXES = ("cache", "parent", "shelf", "zone", "version")
+SITES = (*BOXES, "hub")
 KINDS = {
-    "silent": Kind((*BOXES, "origin")),
-    "slow": Kind((*BOXES, "origin"), hard=(2.0, 12.0)),
-    "thin": Kind((*BOXES, "origin"), hard=(2.0, 10.0)),  # its way out has so many times less
-    "lossy": Kind((*BOXES, "gateway"), hard=(0.02, 0.4)),  # part of the messages that come late by a repeat
-    "deaf": Kind((*BOXES, "gateway")),  # what is sent to it does not come
-    "mute": Kind((*BOXES, "gateway")),  # what it sends does not come
+    "silent": Kind((*SITES, "origin")),
+    "slow": Kind((*SITES, "origin"), hard=(2.0, 12.0)),
+    "thin": Kind((*SITES, "origin"), hard=(2.0, 10.0)),  # its way out has so many times less
+    "lossy": Kind((*SITES, "gateway"), hard=(0.02, 0.4)),  # part of the messages that come late by a repeat
+    "deaf": Kind((*SITES, "gateway")),  # what is sent to it does not come
+    "mute": Kind((*SITES, "gateway")),  # what it sends does not come
     "apart": Kind(("zone",)),  # a location is cut off from parents and origin, both ways
-    "cold": Kind(BOXES, lasts=False),  # dies and starts anew
-    "down": Kind(BOXES),  # dies, and starts anew at the end
-    "drain": Kind(BOXES),  # told to leave, and back as cold
+    "cold": Kind(SITES, lasts=False),  # dies and starts anew
+    "down": Kind(SITES),  # dies, and starts anew at the end
+    "drain": Kind(SITES),  # told to leave, and back as cold
     "lag": Kind(("log", "gateway"), hard=(0.5, 4.0)),  # seconds by which its events come later
     "break": Kind(("log", "gateway")),  # nothing comes from the change log
     "clock": Kind(("gateway",), hard=(-2.0, 2.0)),  # seconds by which it differs
--- a/lilacloft/emulator/fleet.py
+++ b/lilacloft/emulator/fleet.py
@@ -111,8 +111,8 @@
                 self.boxes.append(Box(self, f"c{zone}-{number}", CACHE, zone, number % world.cells,
                                       world.cache_size, world.cache_room, world.slots))
         self.caches = list(self.boxes)
-        self.parents = [Box(self, f"p{number}", PARENT, -1, 0, world.parent_size, world.parent_room,
-                            4 * world.slots) for number in range(world.parents)]
+        self.parents = [Box(self, f"p{number}", PARENT, -1 - number % world.hubs, 0, world.parent_size,
+                            world.parent_room, 4 * world.slots) for number in range(world.parents)]
         self.origin = Box(self, "origin", ORIGIN, -1, 0, world.origin_size, 1e12, 1 << 30)
         self.boxes += [*self.parents, self.origin]
 
@@ -383,7 +383,7 @@
 
     def rows(self, zone: int) -> list[Box]:
         """The list as a gateway of a location gets it."""
-        return [box for box in self.boxes if box.zone in (zone, -1) and box.status]
+        return [box for box in self.boxes if (box.zone == zone or box.zone < 0) and box.status]
 
     def tell(self, *event: Any) -> None:
         """The change log has an event: of boxes, or a purge."""
@@ -409,7 +409,7 @@
         if event[0] == "boxes":
             rows = []
             for box, status, started in event[1]:
-                if box.zone in (gateway.zone, -1):
+                if box.zone == gateway.zone or box.zone < 0:
                     rows.append(_Row(box, status, started))
             if rows:
                 gateway.told(rows)
@@ -436,6 +436,8 @@
             return [box for box in self.caches if box.cell == number]
         if fault.whom == "zone":
             return [box for box in self.caches if box.zone == number]
+        if fault.whom == "hub":
+            return [box for box in self.parents if box.zone == -1 - number]
         if fault.whom == "version":
             return [box for place, box in enumerate([*self.caches, *self.parents]) if number and
                     place % (number + 1) == 0]
--- a/lilacloft/emulator/planes.py
+++ b/lilacloft/emulator/planes.py
@@ -22,6 +22,8 @@
 from lilacloft.plan.planner import Listed, Planner, Site
 from lilacloft.plan.watch import Watch
 from lilacloft.plan.words import Reply, Summary, Word
+from lilacloft.zones.keep import Keeper
+from lilacloft.zones.pace import Warming
 
 KINDS = {CACHE: "cache", PARENT: "parent", ORIGIN: "origin"}
 TICK = 2_500
@@ -49,8 +51,9 @@
         super().begin()
         restarted = self.life > 1
         names = [f"p{number}" for number in range(self.fleet.planners_count)]
+        keeper = Keeper(self.name, world.gateways, world.cold_cache[1]) if self.fleet.leaves else None
         self.follower = Follower(self.name, self.life, self.zone, names, world.fall, 1 / world.gateways,
-                                 self.steady(now), restarted)
+                                 self.steady(now), restarted, keeper)
         self.watch = Watch(self.router, [vhost.name for vhost in world.vhosts], self.follower)
         self.reqs = 0
         self.fleet.events.at(now + 1 + self.number * 37 % EVERY, TIMER, self._speak, self.life)
@@ -72,7 +75,9 @@
     def ended(self, dispatch: Any, outcome: str, note: int, load: list[float]) -> None:
         if not dispatch.over and self.fleet.events.now >= self.frozen:
             req, took = dispatch.req, self.fleet.events.now - dispatch.sent
-            self.watch.ended(dispatch.be.name, req.vhost, outcome, took, req.work, note, dispatch.kbytes)
+            source = dispatch.source.name if dispatch.source else ""
+            self.watch.ended(dispatch.be.name, req.vhost, outcome, took, req.work, note, dispatch.kbytes,
+                             dispatch.be, source)
         super().ended(dispatch, outcome, note, load)
 
     def _speak(self, life: int) -> None:
@@ -126,7 +131,8 @@
         now, rows = self.fleet.events.now, []
         for box in self.fleet.boxes:
             cold = box.kind == CACHE and bool(box.started) and now - box.started < self.fleet.cold_cache[1]
-            rows.append(Listed(box.name, box.zone, KINDS[box.kind], box.status == 1, cold))
+            rows.append(Listed(box.name, box.zone, KINDS[box.kind], box.status == 1, cold, box.size,
+                               now - box.started if box.started else 1 << 40))
         self.core.listing(rows, len(self.fleet.log))
 
     def _tick(self, life: int) -> None:
@@ -156,16 +162,18 @@
     """A world of two levels."""
 
     def __init__(self, world: World, seed: int, faults: Iterable[Fault] = (), policy: Policy | None = None,
-                 planners: int = 3, troubles: Iterable[Trouble] = ()) -> None:
+                 planners: int = 3, troubles: Iterable[Trouble] = (), leaves: bool = False) -> None:
+        """`leaves`: whole locations may be left."""
+        self.leaves = leaves
         self.planners_count = planners
         self.planners: list[Plane] = []
         self.issued: list[tuple[int, Any, int]] = []
         super().__init__(world, seed, faults, policy)
         names = tuple(f"p{number}" for number in range(planners))
         links = {zone: world.way_in for zone in range(world.zones)}
-        self.site = Site(names, world.pace, links, world.parent_size * world.pace, world.origin_size *
-        world.pace,
-                         world.fall)
+        self.site = Site(names, world.pace, links, world.parent_size * world.pace,
+                         world.origin_size * world.pace, world.fall, leaves, False,
+                         Warming(*world.cold_cache), Warming(*world.cold_parent))
         self.planners = [Plane(self, number) for number in range(planners)]
         for trouble in troubles:
             self.events.at(START + trouble.at, FAULT, self._trouble, trouble)
--- a/lilacloft/emulator/worlds.py
+++ b/lilacloft/emulator/worlds.py
@@ -53,6 +53,7 @@
     caches: int = 6  # a zone
     gateways: int = 2  # a zone
     parents: int = 2
+    hubs: int = 1  # that the parents stand in, by turns: -1 and below
     cells: int = 2  # shelves of a zone
     span: int = 10 * SECOND  # that clients come for
     habits: Habits = field(default_factory=Habits)
@@ -92,9 +93,9 @@
     def sizes(self) -> dict[str, int]:
         """How many there are of whom a fault may strike."""
         return {"cache": self.zones * self.caches, "parent": self.parents,
-                "gateway": self.zones * self.gateways, "zone": self.zones, "shelf": self.cells, "version": 3,
-                "object": min(20, self.habits.objects),
-                "group": self.habits.groups}
+                "gateway": self.zones * self.gateways, "zone": self.zones,
+                "hub": self.hubs if self.hubs > 1 else 0, "shelf": self.cells, "version": 3,
+                "object": min(20, self.habits.objects), "group": self.habits.groups}
 
     def settings(self, zone: int, slot: int) -> dict[str, Any]:
         """What a gateway of it is configured with, by the module's names."""
--- a/lilacloft/plan/agent.py
+++ b/lilacloft/plan/agent.py
@@ -14,16 +14,21 @@
 from lilacloft.plan.follow import EVERY, Follower
 from lilacloft.plan.watch import Watch
 from lilacloft.plan.wire import Dial, Peer
+from lilacloft.zones.keep import Keeper
 
 
 class Agent:
     """One gateway's."""
 
-    def __init__(self, owner: Any, name: str, planners: Mapping[str, tuple[str, int]]) -> None:
+    def __init__(self, owner: Any, name: str, planners: Mapping[str, tuple[str, int]],
+                 leaves: bool = False) -> None:
+        """`leaves`: whole locations may be left."""
         self.owner = owner
         router = owner.router
+        keeper = Keeper(name, router.zone_gateways, router.cold_cache[1])
         follower = Follower(name, max(1, time.time_ns() // 1_000_000), router.zone, planners, router.fall,
-                            1 / router.zone_gateways, owner.steady, restarted=True)
+                            1 / router.zone_gateways, owner.steady, restarted=True,
+                            keeper=keeper if leaves else None)
         self.follower = follower
         self.watch = Watch(router, [vhost["name"] for vhost in owner.vhosts], follower)
         self.counted = 0
@@ -52,7 +57,9 @@
 
     def ended(self, call: Any, be: Any, outcome: str, took: int, note: int) -> None:
         """A dispatch is over."""
-        self.watch.ended(be.name, call.vhost, outcome, took, call.req.work, note, call.kbytes)
+        source = call.req.source
+        self.watch.ended(be.name, call.vhost, outcome, took, call.req.work, note, call.kbytes, be,
+                         source.name if source is not None and source is not be else "")
 
     def told(self, names: Iterable[str]) -> None:
         """The change log has told of bes."""
--- a/lilacloft/plan/follow.py
+++ b/lilacloft/plan/follow.py
@@ -19,11 +19,13 @@
 from lilacloft.plan.shares import LEAST, Grant, Purse
 from lilacloft.plan.sights import Sight
 from lilacloft.plan.words import Ask, Given, Plan, Reply, Summary, applied
+from lilacloft.zones.keep import Keeper, Left
 
 EVERY = 2_500  # between two summaries to one planner
 WINDOW = 10_000  # that a sight tells of: this window and the last one
 WAITS = 20_000  # for an answer; then it may be asked again, also of another planner
 LENDS = 50_000
+RECENT = 10_000  # failures older than this say nothing of now
 EAGER = 0.7  # part of a cold budget in use from which on more of it is asked for
 
 
@@ -36,6 +38,12 @@
     out: int = 0
     alone: bool = False
     limit: float = 0.0
+    bad: int = 0  # failures since it last answered, and when the last one was
+    bad_at: int = 0
+    streak: int = 0
+    quiet: int = 0
+    unfilled: int = 0
+    filled: list[int] = field(default_factory=lambda: [0, 0])  # in this window and the last
 
 
 @dataclass(frozen=True)
@@ -48,13 +56,15 @@
     link: float = 0.0  # of likely fills; 0: none
     shares: Mapping[str, float] = field(default_factory=dict)  # of cold budgets, over one's own part alone
     turn: tuple[int, int] = (0, 1)  # at renewals: which of how many
+    left: Mapping[int, Left] = field(default_factory=dict)  # locations that are not all in use
 
 
 class Follower:
     """One forwarder's side."""
 
     def __init__(self, name: str, incarnation: int, zone: int, planners: Iterable[str], fall: int,
-                 own: float, now: int, restarted: bool = False) -> None:
+                 own: float, now: int, restarted: bool = False,
+                 keeper: Keeper | None = None) -> None:
         """`own`: its part of each cold budget when alone. `restarted`: another process had its name, and may
         have lent parts: those are its own again only once they are surely back."""
         self.name, self.incarnation, self.zone = name, incarnation, zone
@@ -77,18 +87,31 @@
         self.reqs = 0.0
         self.fills: dict[str, float] = {}
         self.worth: dict[str, float] = {}
+        self.asked_kb = self.past = 0.0
+        self.keeper = keeper  # where whole locations may be left
+        self.now = now  # of the last look
         self.counts = dict.fromkeys(("summaries", "replies", "late", "plans", "lent", "borrowed"), 0)
 
     # --- what is seen ---
 
     def ended(self, be: str, how: str) -> None:
         """A dispatch at a be is over: well, late or failed."""
-        self.seen.setdefault(be, Seen()).now[("well", "late", "failed").index(how)] += 1
+        seen = self.seen.setdefault(be, Seen())
+        seen.now[("well", "late", "failed").index(how)] += 1
+        seen.bad, seen.bad_at = (seen.bad + 1, self.now) if how == "failed" else (0, seen.bad_at)
+
+    def filled(self, source: str) -> None:
+        """A fill came from it."""
+        self.seen.setdefault(source, Seen()).filled[0] += 1
 
-    def state(self, be: str, out: int, alone: bool, limit: float) -> None:
-        """What the module has of a be now."""
+    def state(self, be: str, out: int, alone: bool, limit: float, waits: int = 0, quiet: int = 0,
+              unfilled: int = 0) -> None:
+        """What the module has of a be now. What failed a while ago, and was not asked since, is no news: a
+        location that returns slice by slice would be left again for what its trials had met."""
         seen = self.seen.setdefault(be, Seen())
         seen.out, seen.alone, seen.limit = out, alone, limit
+        seen.streak = waits + (seen.bad if self.now - seen.bad_at <= RECENT else 0)
+        seen.quiet, seen.unfilled = quiet, unfilled
 
     def list(self, changed: Iterable[str], number: int, cold: Iterable[str], now: int) -> None:
         """The change log has told of bes, as of a number; which are cold now."""
@@ -114,6 +137,7 @@
             self.turned += WINDOW
             for seen in self.seen.values():
                 seen.last, seen.now = seen.now, [0, 0, 0]
+                seen.filled = [0, seen.filled[0]]
         self.numbers[planner] += 1
         number = self.numbers[planner]
         self.sent[planner][number] = now
@@ -122,16 +146,19 @@
         sights = {}
         for be, seen in sorted(self.seen.items()):
             well, late, failed = (one + other for one, other in zip(seen.now, seen.last, strict=True))
-            if well or late or failed or seen.out or seen.alone:
-                sights[be] = Sight(well, late, failed, seen.out, seen.alone, seen.limit)
+            filled = sum(seen.filled)
+            if well or late or failed or seen.out or seen.alone or filled or seen.streak:
+                sights[be] = Sight(well, late, failed, seen.out, seen.alone, seen.limit, seen.streak,
+                                   seen.quiet, seen.unfilled, filled)
         given, self.given[planner] = tuple(self.given[planner]), []
         cold = {be: (purse.usable(now), purse.usable(now) * self.used.get(be, 0.0))
                 for be, purse in sorted(self.purses.items())}
         self.counts["summaries"] += 1
         return Summary(self.name, self.incarnation, number, self.zone, self.listed, self.reqs,
-        dict(self.fills),
-                       dict(self.worth), sights, cold, tuple(self._asks(planner, now)), given,
-                       self.holder.name if self.holder.holds(now) else Name())
+                       dict(self.fills), dict(self.worth), sights, cold, tuple(self._asks(planner, now)),
+                       given, self.holder.name if self.holder.holds(now) else Name(), False, self.asked_kb,
+                       self.past, dict(self.keeper.tallies) if self.keeper else {},
+                       self.keeper.holds() if self.keeper else {})
 
     def _asks(self, planner: str, now: int) -> Iterable[Ask]:
         """More of a cold budget, where nearly all of ours is in use; of one planner at a time."""
@@ -211,8 +238,10 @@
         """What holds now. Of bes that have changed on our list since the plan's, the plan says nothing."""
         shares = {be: purse.usable(now) / self.own for be, purse in sorted(self.purses.items())} \
             if self.own else {}
-        if not self.holder.holds(now):
-            return Effect(shares=shares)
+        holds = self.holder.holds(now)
+        left = self.keeper.look(self.plan.zones if holds else None, now) if self.keeper else {}
+        if not holds:
+            return Effect(shares=shares, left=left)
         plan = self.plan
         known = {be for be, number in self.changed.items() if number > plan.listed}
         out = {be: 0 if plan.trials.get(be) == self.name else self.holder.until
@@ -222,4 +251,4 @@
         link = max(1.0, plan.links.get(self.zone, 0.0) * part) if plan.links.get(self.zone) and part else 0.0
         names = plan.renews.get(self.zone, ())
         turn = (names.index(self.name), len(names)) if self.name in names else (0, 1)
-        return Effect(plan.name, out, ways, link, shares, turn)
+        return Effect(plan.name, out, ways, link, shares, turn, left)
--- a/lilacloft/plan/form.py
+++ b/lilacloft/plan/form.py
@@ -17,7 +17,8 @@
 
 from lilacloft.plan.order import Name
 from lilacloft.plan.sights import Sight
-from lilacloft.plan.words import PARTS, Ask, Delta, Given, Plan, Reply, Summary, Word
+from lilacloft.plan.words import NUMBERED, PARTS, Ask, Delta, Given, Plan, Reply, Summary, Word
+from lilacloft.zones.course import Tally, Told
 
 VERSION = 1
 LEAST = 1
@@ -28,16 +29,21 @@
 SPEC = {
     "Hello": "name:s role:s incarnation:u newest:u oldest:u",
     "Name": "epoch:u number:u planner:s",
-    "Sight": "be:s well:u late:u failed:u out:u alone:b limit:d",
+    "Sight": "be:s well:u late:u failed:u out:u alone:b limit:d streak:u quiet:u unfilled:u filled:u",
     "Ask": "number:u be:s part:d span:i",
     "Given": "number:u be:s part:d delay:i span:i",
     "Pair": "key:s value:d",
     "Text": "key:s value:s",
     "Cold": "be:s own:d used:d",
     "Turn": "zone:u names:s*",
+    "Tally": "zone:i well:u late:u failed:u hits:u",
+    "Left": "zone:i back:u fails:u",
+    "Zone": "zone:i back:u fails:u rate:d trial:s why:s",
     "Summary": "name:s incarnation:u number:u zone:u listed:u reqs:d fills:Pair* worth:Pair* sights:Sight* "
-               "cold:Cold* asks:Ask* given:Given* holds:Name leaves:b",
-    "Plan": "name:Name listed:u out:Text* trials:Text* ways:Pair* links:Pair* parts:Pair* renews:Turn*",
+               "cold:Cold* asks:Ask* given:Given* holds:Name leaves:b asked:d past:d tallies:Tally* "
+               "left:Left*",
+    "Plan": "name:Name listed:u out:Text* trials:Text* ways:Pair* links:Pair* parts:Pair* renews:Turn* "
+            "zones:Zone*",
     "Delta": "since:Name plan:Plan gone:Text*",
     "Reply": "planner:s incarnation:u number:u span:i plan:Plan delta:Delta asks:Ask* given:Given* whole:b",
     "Row": "name:s role:s incarnation:u zone:u address:s age:i state:s",
@@ -157,18 +163,23 @@
 def summary(told: Summary) -> bytes:
     out = FRAME()
     into = out.summary
-    for field in ("name", "incarnation", "number", "zone", "listed", "reqs", "leaves"):
+    for field in ("name", "incarnation", "number", "zone", "listed", "reqs", "leaves", "asked", "past"):
         setattr(into, field, getattr(told, field))
     _pairs(into.fills, told.fills)
     _pairs(into.worth, told.worth)
     for be, sight in told.sights.items():
         into.sights.add(be=be, well=sight.well, late=sight.late, failed=sight.failed, out=sight.out,
-                        alone=sight.alone, limit=sight.limit)
+                        alone=sight.alone, limit=sight.limit, streak=sight.streak, quiet=sight.quiet,
+                        unfilled=sight.unfilled, filled=sight.filled)
     for be, (own, used) in told.cold.items():
         into.cold.add(be=be, own=own, used=used)
     _asks(into.asks, told.asks)
     _givens(into.given, told.given)
     _name(into.holds, told.holds)
+    for zone, tally in told.tallies.items():
+        into.tallies.add(zone=zone, well=tally.well, late=tally.late, failed=tally.failed, hits=tally.hits)
+    for zone, (back, fails) in told.left.items():
+        into.left.add(zone=zone, back=back, fails=fails)
     return frame(out)
 
 
@@ -176,18 +187,23 @@
     return Summary(
         told.name, told.incarnation, told.number, told.zone, told.listed, told.reqs,
         {one.key: one.value for one in told.fills}, {one.key: one.value for one in told.worth},
-        {one.be: Sight(one.well, one.late, one.failed, one.out, one.alone, one.limit) for one in told.sights},
+        {one.be: Sight(one.well, one.late, one.failed, one.out, one.alone, one.limit, one.streak, one.quiet,
+                       one.unfilled, one.filled) for one in told.sights},
         {one.be: (one.own, one.used) for one in told.cold}, _asked(told.asks), _given(told.given),
-        _named(told.holds), told.leaves)
+        _named(told.holds), told.leaves, told.asked, told.past,
+        {one.zone: Tally(one.well, one.late, one.failed, one.hits) for one in told.tallies},
+        {one.zone: (one.back, one.fails) for one in told.left})
 
 
 def _plan(into: Any, plan: Plan) -> None:
     _name(into.name, plan.name)
     into.listed = plan.listed
-    for part in PARTS[:-1]:
+    for part in PARTS[:-2]:
         _pairs(getattr(into, part), getattr(plan, part))
     for zone, names in plan.renews.items():
         into.renews.add(zone=zone, names=names)
+    for zone, one in plan.zones.items():
+        into.zones.add(zone=zone, back=one.back, fails=one.fails, rate=one.rate, trial=one.trial, why=one.why)
 
 
 def _planned(told: Any) -> Plan:
@@ -195,7 +211,8 @@
         _named(told.name), told.listed, {one.key: one.value for one in told.out},
         {one.key: one.value for one in told.trials}, {one.key: one.value for one in told.ways},
         {int(one.key): one.value for one in told.links}, {one.key: one.value for one in told.parts},
-        {one.zone: tuple(one.names) for one in told.renews})
+        {one.zone: tuple(one.names) for one in told.renews},
+        {one.zone: Told(one.back, one.fails, one.rate, one.trial, one.why) for one in told.zones})
 
 
 def reply(told: Reply) -> bytes:
@@ -228,7 +245,7 @@
         for one in told.delta.gone:
             if one.value not in PARTS:
                 raise WireError(f"no part {one.value!r} of a plan")
-            key = int(one.key) if one.value in ("links", "renews") else one.key
+            key = int(one.key) if one.value in NUMBERED else one.key
             changes.setdefault(one.value, {})[key] = None
         change = Delta(_named(told.delta.since), new.name, new.listed, changes)
     return Reply(told.planner, told.incarnation, told.number, told.span, plan, change, _asked(told.asks),
--- a/lilacloft/plan/planner.py
+++ b/lilacloft/plan/planner.py
@@ -13,18 +13,21 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from lilacloft.members.table import FORWARDER, PLANNER, Change, Table
+from lilacloft.members.table import ALIVE, FORWARDER, PLANNER, Change, Table
 from lilacloft.plan import place as places
 from lilacloft.plan.order import Issuer, Name
 from lilacloft.plan.shares import LEAST, Grant, Purse, divide
 from lilacloft.plan.sights import HOLD, Judge, trials
 from lilacloft.plan.words import PARTS, Ask, Delta, Given, Plan, Reply, Summary, Word, delta
+from lilacloft.zones import evidence, pace
+from lilacloft.zones.course import Decider, Told
 
 SPAN = 30_000  # for which a plan holds: some ten summaries, so that a lost one matters little
 LENDS = 50_000  # for which a part of a cold budget is lent at most
 SPARES = 0.8  # of what a forwarder does not use is asked for
 NOISE = 0.1  # a limit that has changed by less is told as it was
 KEEPS = 64  # plans that a delta can be told from
+LATELY = 5_000  # sights and answers older than this say nothing of whole locations
 ROOM = 1.3  # over what was seen well at once: a limit must leave room to learn more
 
 
@@ -37,6 +40,8 @@
     kind: str  # cache, parent, origin
     ready: bool = True
     cold: bool = False
+    size: float = 1.0  # in transfers at full pace, where the site tells sizes
+    age: int = 1 << 40  # since its start
 
 
 @dataclass
@@ -49,6 +54,10 @@
     parents: float = float("inf")  # of one parent's way out
     origin: float = float("inf")
     fall: int = 10_000
+    zones: bool = False  # whole locations may be left
+    sizes: bool = False  # the list tells bes' sizes
+    caches: pace.Warming = field(default_factory=pace.Warming)
+    hubs: pace.Warming = field(default_factory=pace.Warming)  # how parents grow warm
 
 
 @dataclass
@@ -77,6 +86,7 @@
         self.made: dict[tuple[int, Name], tuple[Plan | None, Delta | None]] = {}  # answers, by location
         self.placed: dict[places.Place, float] = {}
         self.asked = 0
+        self.zones: Decider | None = None
         self.counts = dict.fromkeys(("summaries", "stale", "plans", "lent", "borrowed", "greedy"), 0)
 
     # --- what is heard ---
@@ -127,6 +137,9 @@
             self._borrowed(known, given, now)
         gives = tuple([self._lend(ask, now) for ask in told.asks])
         asks = tuple(self._wants(known, now))
+        if self.zones:
+            for zone, tally in told.tallies.items():
+                self.zones.tally(told.name, told.incarnation, zone, tally)
         whole = told.number > 0 and before is told  # it is new here: what it told others is not known
         reply = Reply(self.name, self.table.incarnation, told.number, asks=asks, given=gives, whole=whole)
         if not self.issuer.issues:
@@ -161,13 +174,17 @@
         return Plan(plan.name, plan.listed, out, trials_, ways,
                     {zone: plan.links[zone]} if zone in plan.links else {},
                     {name: plan.parts[name] for name in names if name in plan.parts},
-                    {zone: names} if names else {})
+                    {zone: names} if names else {},
+                    {other: told for other, told in plan.zones.items()
+                     if other == zone or other in self._hubs()})
 
     def _changed(self, change: Change | None) -> None:
         if change and (change.new or change.member.state in ("gone", "left")):
             name = change.member.name
             if change.member.role == FORWARDER:
                 self.judge.gone(name)
+                if self.zones:
+                    self.zones.gone(name)
                 known = self.known.get(name)
                 if known and known.summary.incarnation <= change.member.incarnation and not (
                         change.new and known.summary.incarnation == change.member.incarnation):
@@ -224,12 +241,17 @@
             self._changed(change)
         for name in [name for name, known in self.known.items() if now - known.at > 2 * SPAN]:
             del self.known[name]
-        began = self.issuer.look(self.table.alive(PLANNER))
+        # one that is only suspected leads no more: whoever follows it would wait 2.5 s longer, and two that
+        # issue for a moment are ordered by their epochs
+        began = self.issuer.look(name for name in self.table.alive(PLANNER)
+                                 if self.table.members[name].state == ALIVE)
+        if self.site.zones:
+            self._zones(now)
         if not self.issuer.issues:
             return False
         draft = self._draft(now)
         if not began and all(getattr(draft, part) == getattr(self.plan, part) for part in (
-                "out", "trials", "ways", "links", "parts", "renews", "listed")) and \
+                *PARTS, "listed")) and \
                 self.plan.name.epoch == self.issuer.epoch:
             return False
         self.plan = replace(draft, name=self.issuer.next())
@@ -254,7 +276,89 @@
             names = who.get(zone, []) if self.bes[be].kind == "cache" else list(there)
             turns.update({be: name for be, (name, _) in trials([be], names, now).items()})
         return Plan(Name(), self.listed, out, turns, self._ways(there), self._links(there),
-                    self._parts(there, who), {zone: tuple(names) for zone, names in who.items()})
+                    self._parts(there, who), {zone: tuple(names) for zone, names in who.items()},
+                    self._told(who, now))
+
+    # --- whole locations ---
+
+    def _hubs(self) -> set[int]:
+        return {be.zone for be in self.bes.values() if be.kind == "parent"}
+
+    def _zones(self, now: int) -> None:
+        """Decide of whole locations, or follow what others have decided."""
+        if self.zones is None:
+            hubs = dict.fromkeys(self._hubs(), self.site.hubs)
+            self.zones = Decider(now, {**dict.fromkeys(self.site.links, self.site.caches), **hubs})
+        fresh = {name: known for name, known in sorted(self.known.items()) if now - known.at <= LATELY}
+        if not self.issuer.issues or self.zones.listens(now):
+            held: dict[int, tuple[int, int]] = {}
+            for known in fresh.values():
+                for zone, (back, fails) in known.summary.left.items():
+                    before = held.get(zone, (back, fails))
+                    held[zone] = min(back, before[0]), max(fails, before[1])
+            return self.zones.take_up(held, now)
+        places = self._places()
+        view = evidence.View(places, self._looks(now), frozenset(fresh), frozenset(self.judge.astray))
+        traffic = {zone: sum(known.summary.reqs for known in self.known.values()
+                             if known.summary.zone == zone) for zone in places}
+        self.zones.look(evidence.judge(view), traffic, {zone: self._bears(zone, place)
+                                                        for zone, place in places.items()}, now)
+        return None
+
+    def _places(self) -> dict[int, evidence.Place]:
+        """All locations, with their bes that are ready and their forwarders as the members have them."""
+        caches: dict[int, list[str]] = {}
+        parents: dict[int, list[str]] = {}
+        for be in self.bes.values():
+            if be.kind != "origin":
+                into = (caches if be.kind == "cache" else parents).setdefault(be.zone, [])
+                if be.ready:
+                    into.append(be.name)
+        who: dict[int, list[str]] = {}
+        for name in self.table.alive(FORWARDER):
+            who.setdefault(self.table.members[name].zone, []).append(name)
+        out = {zone: evidence.Place(tuple(sorted(names)), tuple(who.get(zone, ())))
+               for zone, names in caches.items()}
+        out.update({zone: evidence.Place(tuple(sorted(names)), (), True) for zone, names in parents.items()
+                    if zone not in out})
+        return out
+
+    def _looks(self, now: int) -> dict[str, dict[str, evidence.Look]]:
+        out: dict[str, dict[str, evidence.Look]] = {}
+        for be, sights in self.judge.sights.items():
+            for name, (at, sight) in sights.items():
+                if now - at <= LATELY:
+                    answers = 0 < sight.quiet <= LATELY - (now - at)
+                    out.setdefault(name, {})[be] = evidence.Look(
+                        sight.streak, answers, sight.unfilled, sight.filled)
+        return out
+
+    def _bears(self, zone: int, place: evidence.Place) -> pace.Bears:
+        """What a location bears now, and what there is to fill it."""
+        mine = [known.summary for known in self.known.values() if known.summary.zone == zone or place.parents]
+        link = self.site.links.get(zone, float("inf"))
+        rows = [self.bes[be] for be in place.bes]
+        size = 2 * link / self.site.pace / max(1, len(rows))  # as the module has it where sizes are not told
+        if place.parents:
+            size = self.site.parents / self.site.pace
+        sizes = tuple((row.size if self.site.sizes else size, row.age) for row in rows)
+        fills = sum(sum(told.fills.values()) for told in mine)
+        past = sum(told.past for told in mine)
+        if place.parents:  # what its parents are asked for is the fills; they fill from the origin
+            return pace.Bears(fills, self.site.pace, sizes, self.site.origin)
+        parents = sum(self.site.parents for be in self.bes.values() if be.kind == "parent" and be.ready)
+        others = sum(sum(known.summary.fills.values()) for known in self.known.values()
+                     if known.summary.zone != zone)
+        asked = sum(told.asked for told in mine)
+        return pace.Bears(asked, self.site.pace, sizes, max(0.0, min(link, parents - others)),
+                          max(0.0, fills - past))
+
+    def _told(self, who: Mapping[int, list[str]], now: int) -> dict[int, Told]:
+        if self.zones is None:
+            return {}
+        everybody = tuple(sorted(name for names in who.values() for name in names))
+        hubs = dict.fromkeys(self._hubs(), everybody)
+        return self.zones.told({**hubs, **{zone: tuple(names) for zone, names in who.items()}}, now)
 
     def _spared(self, out: dict[str, str]) -> dict[str, str]:
         """What most of a location shows is not its caches' doing: no more than half of them are left
@@ -333,6 +437,12 @@
         """Who decided what of a be, from which sights, under which plan."""
         out = [f"plan {self.plan.name}, on the list as of {self.plan.listed}"
                + ("" if self.issuer.issues else "; this planner does not issue")]
+        if what.startswith("zone "):
+            number = what.partition(" ")[2]
+            if self.zones is None or not number.lstrip("-").isdigit():
+                return [*out, "whole locations are not left here" if self.zones is None
+                        else f"{number!r} is no location's number"]
+            return [*out, *self.zones.explain(int(number), now)]
         be = self.bes.get(what)
         if be is None:
             return [*out, f"{what} is not listed"]
--- a/lilacloft/plan/serve.py
+++ b/lilacloft/plan/serve.py
@@ -17,6 +17,7 @@
 from lilacloft.plan.wire import Dial, Door, Peer
 from lilacloft.plan.words import PARTS, delta
 from lilacloft.settings import settings
+from lilacloft.zones.pace import Warming
 
 TICK = 0.25
 NS = 100_000
@@ -28,13 +29,19 @@
     """One planner."""
 
     def __init__(self, name: str, config: Mapping[str, Any], planners: Mapping[str, tuple[str, int]],
-                 folder: str = "") -> None:
+                 folder: str = "", leaves: bool = False) -> None:
+        """`leaves`: whole locations may be left."""
         found = settings(config["settings"])
         family = found["family"]
         self.name, self.kinds, self.found = name, (family["parent_kind"], family["source_kind"]), found
         self.cold = found["rules"]["cold"]
         links = {zone: float(rate) for zone, rate in enumerate(family.get("feed_kb_per_s") or []) if rate}
-        site = Site(tuple(sorted(planners)), family["pace_kb_per_s"], links, fall=found["rules"]["fall"])
+        rules = found["rules"]
+        site = Site(tuple(sorted(planners)), family["pace_kb_per_s"], links, fall=rules["fall"], zones=leaves,
+                    sizes=found.get("weight_source", "silent") != "silent",
+                    caches=Warming(rules["start_capacity"], rules["cold"], rules["tip_multiple"]),
+                    hubs=Warming(family["parent_floor"], family["parent_warms_in"],
+                                 family["parent_breaks_at"]))
         self.store = self._open(folder)
         epoch, life = self._begin()
         self.core = Planner(name, life, site, epoch)
@@ -138,8 +145,9 @@
         now = time.time() * 10_000
         self.core.listing([Listed(
             name, zone, "parent" if kind == parent else "origin" if kind == origin else "cache", status == 1,
-            kind not in (parent, origin) and bool(started) and now - started * 10 < self.cold)
-            for name, _, zone, kind, _, status, _, started in self.bes.values()], self.number)
+            kind not in (parent, origin) and bool(started) and now - started * 10 < self.cold,
+            size if size > 0 else 1.0, int(now - started * 10) if started else 1 << 40)
+            for name, _, zone, kind, _, status, size, started in self.bes.values()], self.number)
 
     # --- connections ---
 
--- a/lilacloft/plan/sights.py
+++ b/lilacloft/plan/sights.py
@@ -31,6 +31,10 @@
     out: int = 0  # in flight now
     alone: bool = False  # it leaves it alone by its own word
     limit: float = 0.0  # of dispatches at once, as it has learned; 0: not told
+    streak: int = 0  # failures just now, with no answer since, and dispatches that should have been answered
+    quiet: int = 0  # for so long it has not answered, and one more; 0: it never has
+    unfilled: int = 0  # fills out or lost that it should have supplied, through caches that answer others
+    filled: int = 0  # fills that it has supplied lately
 
     def bad(self) -> bool | None:
         """Does it fail? None where nothing was seen."""
--- a/lilacloft/plan/watch.py
+++ b/lilacloft/plan/watch.py
@@ -15,6 +15,8 @@
 from lilacloft.plan.follow import EVERY, Effect, Follower
 
 SECOND = 10_000
+WAITS = 0.5  # part of its aim that a dispatch may be out before it counts as not answered; a likely fill
+# may be out for all of it, as its source may be slow
 MEAN = 1 / 4  # weight of one look in what reqs and fills are a second
 ANSWERED = ("done", "miss", "full", "error")
 FAILED = ("timeout", "reset", "unreached")
@@ -27,16 +29,31 @@
     def __init__(self, router: Any, vhosts: Sequence[str], follower: Follower) -> None:
         self.router, self.vhosts, self.follower = router, list(vhosts), follower
         self.fills: dict[str, float] = {}  # KB since the last look, by vhost
+        self.past, self.mean = 0.0, 0.0  # KB of those that went past the caches; of a mean answer
 
     def ended(self, be: str, vhost: int, outcome: str, took: int, work: float, note: int,
-              kbytes: float) -> None:
-        """A dispatch is over, so long after it was sent."""
+              kbytes: float, at: Any = None, source: str = "") -> None:
+        """A dispatch is over, so long after it was sent. `at`: the module's be; `source`: who filled it,
+        where that is another."""
         mine = self.router.vhosts[vhost]
-        if outcome in ANSWERED:
-            self.follower.ended(be, "late" if took > mine.aim(work) else "well")
-        elif outcome in FAILED:
-            self.follower.ended(be, "failed")
-        if outcome == "done" and note in FILLED:
+        how = ("late" if took > mine.aim(work) else "well") if outcome in ANSWERED else \
+            "failed" if outcome in FAILED else ""
+        if how:
+            self.follower.ended(be, how)
+        direct = at is not None and at.kind in (self.router.parent_kind, self.router.origin_kind)
+        keeper = self.follower.keeper
+        if keeper and outcome == "cancelled" and took > mine.aim(work):
+            how = "failed"  # of a trial that was called back: it was given more than its time
+        if how and at is not None and keeper and at.kind != self.router.origin_kind:
+            keeper.ended(at.zone, how, outcome == "done" and note not in FILLED, self.follower.now,
+                         self.router.host.now())
+        if outcome == "done":
+            self.mean += ((kbytes or 1.0) - self.mean) * (1 / 16 if self.mean else 1)
+            if source and note in FILLED and how == "well":
+                self.follower.filled(source)
+            if direct:
+                self.past += max(1.0, kbytes)
+        if outcome == "done" and (note in FILLED or direct):
             name, kbytes = self.vhosts[vhost], max(1.0, kbytes)
             self.fills[name] = self.fills.get(name, 0.0) + kbytes
             self.follower.worth[name] = mine.value / kbytes
@@ -51,18 +68,38 @@
     def look(self, reqs: int, number: int, time: int, steady: int) -> None:
         """What the module has now, and so many reqs since the last look, goes to the follower."""
         router, follower = self.router, self.follower
+        follower.now = steady
         follower.reqs += (reqs * SECOND / EVERY - follower.reqs) * MEAN
         for name in sorted(follower.fills.keys() | self.fills.keys()):
             before = follower.fills.get(name, 0.0)
             follower.fills[name] = before + (self.fills.get(name, 0.0) * SECOND / EVERY - before) * MEAN
+        follower.past += (self.past * SECOND / EVERY - follower.past) * MEAN
+        follower.asked_kb = follower.reqs * self.mean
+        self.past = 0.0
         self.fills.clear()
         for be in router.known:
             if be.kind != router.origin_kind:
+                waits, unfilled = self._waits(be, time)
                 follower.state(be.name, len(be.reqs), be.suspect and be.name not in router.left_out,
-                               be.way.limit if be.way else 0.0)
+                               be.way.limit if be.way else 0.0, waits,
+                               time - be.heard + 1 if be.heard else 0, unfilled)
         self.listed((), number, time, steady)
         follower.uses({be.name: self._used(be, time) for be in router.caches if be.name in follower.purses})
 
+    def _waits(self, be: Any, time: int) -> tuple[int, int]:
+        """How many dispatches are out at a be that it should have answered, with nothing heard from it since;
+        and of how many that others should have answered it is the source, while those answer others."""
+        waits = unfilled = 0
+        for req in be.reqs:
+            long = self.router.vhosts[req.vhost].aim(req.work) * (2 * WAITS if req.fill else WAITS)
+            if time - req.sent <= long:
+                continue
+            if req.be is be:
+                waits += be.heard < req.sent
+            elif req.fill and req.be.heard >= req.sent:
+                unfilled += 1
+        return waits, unfilled
+
     def _used(self, be: Any, time: int) -> float:
         """The part of what it may send a cold be that it has sent lately, as `Router._room` bounds it."""
         router = self.router
@@ -76,5 +113,5 @@
         """Have the module keep what holds now, in its own time; returns it."""
         effect = self.follower.effect(steady)
         out = {be: until + time - steady if until else 0 for be, until in effect.out.items()}
-        self.router.planned(out, effect.ways, effect.link, dict(effect.shares))
+        self.router.planned(out, effect.ways, effect.link, dict(effect.shares), effect.left)
         return effect
--- a/lilacloft/plan/words.py
+++ b/lilacloft/plan/words.py
@@ -7,6 +7,7 @@
 
 from lilacloft.plan.order import Name
 from lilacloft.plan.sights import Sight
+from lilacloft.zones.course import Tally, Told
 
 
 @dataclass(frozen=True)
@@ -48,6 +49,10 @@
     given: tuple[Given, ...] = ()  # answers to the planner's asks
     holds: Name = Name()
     leaves: bool = False
+    asked: float = 0.0  # KB a second that its reqs ask for
+    past: float = 0.0  # of `fills`, what goes past the caches
+    tallies: dict[int, Tally] = field(default_factory=dict)  # by location, since its process began
+    left: dict[int, tuple[int, int]] = field(default_factory=dict)  # what it keeps to, of those not in use
 
 
 @dataclass(frozen=True)
@@ -62,6 +67,7 @@
     links: dict[int, float] = field(default_factory=dict)  # fills at once, by location, of all together
     parts: dict[str, float] = field(default_factory=dict)  # a forwarder's part of its location's
     renews: dict[int, tuple[str, ...]] = field(default_factory=dict)  # forwarders in the order of their turns
+    zones: dict[int, Told] = field(default_factory=dict)  # locations that are not all in use
 
 
 @dataclass(frozen=True)
@@ -100,7 +106,8 @@
     rows: tuple[tuple[str, str, int, int, str, int, str], ...] = ()
 
 
-PARTS = ("out", "trials", "ways", "links", "parts", "renews")
+PARTS = ("out", "trials", "ways", "links", "parts", "renews", "zones")
+NUMBERED = ("links", "renews", "zones")  # those by location
 
 
 def delta(before: Plan, after: Plan) -> Delta:
--- a/lilacloft/upgrade/process.py
+++ b/lilacloft/upgrade/process.py
@@ -72,7 +72,8 @@
         return None
     from lilacloft.plan.agent import Agent
 
-    return Agent(owner, str(config.get("name", "gateway")), plan["planners"])
+    return Agent(owner, str(config.get("name", "gateway")), plan["planners"],
+                 plan.get("zones", {}).get("leave") == "past")
 
 
 def _reader(folder: str) -> Any:
--- /dev/null
+++ b/tests/test_zones_world.py
@@ -0,0 +1,121 @@
+"""Locations left and returned to in virtual time: worlds with planners, by the scripts of `rigs.zones`."""
+
+import pytest
+
+from lilacloft.emulator.faults import parse
+from lilacloft.emulator.fleet import START
+from lilacloft.emulator.planes import Trouble
+from lilacloft.emulator.worlds import SECOND
+from lilacloft.zones.slices import SLICES
+from rigs.zones import SCRIPTS, WatchedPlanes, one, world
+
+SIZES = (24, 12, 110.0, 4)  # caches, gateways, reqs a second, locations
+
+LEFT_AND_BACK = ("silent-cold", "silent", "mute", "deaf", "issuer-back", "purge", "drain")
+
+
+def said(row, zone, planner="p0"):
+    return [line.partition(": ")[2] for line in row["left"] if line.startswith(f"{planner} {zone} ")]
+
+
+@pytest.mark.parametrize("script", LEFT_AND_BACK)
+def test_a_lost_location_is_left_and_back_and_no_rule_is_broken(script):
+    row = one(script, "leaves", 3, SIZES)
+    assert row["broken"] == 0, row["breaches"]
+    assert row["elsewhere"] is not None and row["elsewhere"] <= 3.0 and row["changes"] <= 2
+    planner = "p1" if script == "issuer-back" else "p0"
+    assert any(f"{SLICES} of {SLICES}" in text for text in said(row, 1, planner))
+    assert not said(row, 0) and not said(row, 2) and not said(row, 3)
+
+
+def test_it_is_worth_more_than_planners_that_leave_no_location():
+    rows = {way: [one("silent-cold", way, seed, SIZES) for seed in (1, 2)] for way in ("planes", "leaves")}
+    for earlier, now in zip(rows["planes"], rows["leaves"], strict=True):
+        assert now["trouble"] > earlier["trouble"] + 0.02 and now["into"] < 0.5 * earlier["into"]
+
+
+@pytest.mark.parametrize("script", ["calm", "slow-origin", "apart"])
+def test_what_all_share_or_what_has_no_way_past_leaves_nobody(script):
+    row = one(script, "leaves", 5, SIZES)
+    assert row["broken"] == 0 and row["left"] == [] and row["changes"] == 0
+
+
+def test_two_of_four_are_left_and_a_hub_is_as_a_location_is():
+    row = one("two", "leaves", 2, SIZES)
+    assert row["broken"] == 0 and said(row, 1) and said(row, 2) and not said(row, 0)
+    row = one("hub", "leaves", 2, (24, 12, 200.0, 4))
+    assert row["broken"] == 0 and not any(said(row, zone) for zone in range(4))
+    assert any("its parents fail" in text for text in said(row, -2)) and not said(row, -1)
+
+
+def test_turns_of_three_seconds_for_a_minute_change_it_four_times_at_most():
+    row = one("turns", "leaves", 2, SIZES)
+    assert row["broken"] == 0 and 1 <= row["changes"] <= 4
+
+
+def backs(fleet):
+    """Slices at home of location 1, by forwarder of it that has not all."""
+    return [gateway.follower.keeper.own[1].left.back for gateway in fleet.gateways
+            if gateway.zone == 1 and 1 in gateway.follower.keeper.own]
+
+
+def test_planners_all_dead_while_it_returns_leave_forwarders_that_go_on_slowly_and_none_in_a_jump():
+    """The deciders die in the middle of the return of a cold location, for good."""
+    place = world(*SIZES, span=34.0)
+    faults = parse(SCRIPTS["silent-cold"].faults)
+    dead = tuple(Trouble("kill", number, 114_000, 1_000_000) for number in range(3))
+    fleet = WatchedPlanes(place, 4, faults, troubles=dead, leaves=True)
+    fleet.watch()
+    path = []
+
+    def look():
+        path.append(((fleet.events.now - START) / SECOND, max(backs(fleet), default=0), len(backs(fleet))))
+        fleet.events.at(fleet.events.now + 2_500, 9, look)
+
+    fleet.events.at(START + 12 * SECOND, 9, look)
+    result = fleet.run()
+    assert not result.breaches
+    alone = [(at, back) for at, back, many in path if at > 15.0 and many]
+    assert alone and all(two - one <= 3 for (_, one), (_, two) in zip(alone, alone[1:], strict=False))
+    assert result.worth > 0.93
+
+
+def test_a_planner_that_knows_nothing_of_it_sends_nobody_home_in_a_jump():
+    """The one that issues is cut off from half of the forwarders and from the others while a location is
+    left: another issues, and the first is back before the location is."""
+    faults = parse(SCRIPTS["silent-cold"].faults)
+    cuts = (Trouble("split", 0, 60_000, 30_000), Trouble("cut", 0, 60_000, 30_000),
+            Trouble("kill", 1, 100_000, 5_000))
+    fleet = WatchedPlanes(world(*SIZES, span=30.0), 6, faults, troubles=cuts, leaves=True)
+    fleet.watch()
+    path = []
+
+    def look():
+        path.append(min(backs(fleet), default=SLICES))
+        fleet.events.at(fleet.events.now + 2_500, 9, look)
+
+    fleet.events.at(START + 5 * SECOND, 9, look)
+    result = fleet.run()
+    assert not result.breaches and min(path) == 0
+    lost = fleet.sent_to  # while it is lost only trials and what had not heard yet go there
+    sent = sum(lost.get((at, 1), 0) for at in range(65, 88))
+    asked = sum(fleet.asked_in.get((at, 1), 0) for at in range(65, 88))
+    assert sent <= 0.2 * asked
+
+
+def test_a_gateway_whose_own_way_is_bad_moves_nobody():
+    faults = parse("(at 3s (mute (gateway 3)) (for 8s)) (at 3s (deaf (gateway 7)) (for 8s)) "
+                   "(at 4s (stop (gateway 1)) (for 2s))")
+    fleet = WatchedPlanes(world(*SIZES, span=14.0), 2, faults, leaves=True)
+    fleet.watch()
+    assert not fleet.run().breaches
+    assert all(not course.log for plane in fleet.planners for course in plane.core.zones.courses.values())
+
+
+def test_the_same_seed_is_the_same_run():
+    marks = []
+    for _ in range(2):
+        fleet = WatchedPlanes(world(*SIZES, span=12.0), 9, parse(SCRIPTS["silent-cold"].faults), leaves=True)
+        fleet.watch()
+        marks.append(fleet.run().mark)
+    assert marks[0] == marks[1]
