rigs.fleet: many processes of the program with a relay on every link, by the emulator's scripts

Need: how processes behave together when links and parts fail was shown with boxes in one process and no fault between them.

--- /dev/null
+++ b/rigs/fleet.py
@@ -0,0 +1,530 @@
+"""Many processes of the program with links that fail between them:
+`python -m rigs.fleet SCRIPT [--gateways 24 --planners 3 --seconds 30 --seed 1 --drawn 6] [--json FILE]`.
+
+Real gateways and planners, stand-in boxes in processes of their own (one for each location, hub and the
+origin), and a relay on every link: gateway to box, to change log and to planner, planner to planner, cache to
+source; each direction by itself. The script is one of `rigs.zones`, in the emulator's fault language, or
+drawn from the seed: the same script runs in virtual time and here. Judged by the accounts of clients, boxes
+and change log; every run ends with what the planners decided, and when.
+
+A req that was called back from a box behind a link that is cut may be at two boxes, as nothing can tell the
+first: such entries are counted as `beyond`, not as a breach, where no effect came twice.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import copy
+import json
+import signal
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from lilacloft.emulator import faults as language
+from lilacloft.emulator.chance import Chance
+from lilacloft.emulator.faults import Fault
+from lilacloft.emulator.planes import Trouble
+from lilacloft.emulator.worlds import SECOND
+from rigs.account import Account
+from rigs.checker import Breach, Limits, check
+from rigs.load import Load
+from rigs.scene import FAMILY, STATES, VHOSTS, Gateway, Scene, Timers
+from rigs.stands import ENV, Log, framed, record, unused
+from rigs.upgrade import histogram
+from rigs.zones import SCRIPTS
+
+KINDS = ("small", "large", "parent", "origin")
+ORIGIN = "s-00000fff"
+UP_AGAIN = 0.3  # seconds from a box's end to its new start
+DRAWN = {"silent": 3, "deaf": 1, "mute": 1, "apart": 1, "slow": 1, "lossy": 1, "cold": 2, "drain": 1,
+         "restart": 1, "stop": 1, "break": 1, "purge": 2}
+
+
+@dataclass
+class Meta:
+    """A box as the script knows it."""
+
+    name: str
+    kind: str
+    zone: int  # place among all locations, hubs after those with caches
+    port: int
+    state: str = "active"
+    started: float = 0.0
+
+
+@dataclass
+class Worker:
+    """A process of ours that takes commands on its standard input."""
+
+    words: list[str]
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def start(self) -> None:
+        with self.log.open("ab") as file:
+            self.process = subprocess.Popen([sys.executable, *self.words], stdin=subprocess.PIPE,
+                                            stdout=subprocess.PIPE, stderr=file)
+        assert self.process.stdout is not None
+        line = self.process.stdout.readline()
+        if line != b"ready\n":
+            raise RuntimeError(f"{self.words} said {line!r}: {self.log.read_text()[-2000:]}")
+
+    def say(self, told: dict[str, Any]) -> None:
+        with self.lock, contextlib.suppress(BrokenPipeError):
+            assert self.process is not None and self.process.stdin is not None
+            self.process.stdin.write(json.dumps(told).encode() + b"\n")
+            self.process.stdin.flush()
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+class Feed(Log):
+    """The change log as one party reaches it: bes stand at the ports that it has for them."""
+
+    def __init__(self, ports: dict[str, int]) -> None:
+        self.ports = ports
+        super().__init__()
+
+    def _serve(self, sock: Any) -> None:
+        super()._serve(sock)
+        with contextlib.suppress(OSError):
+            while True:
+                time.sleep(0.5)
+                sock.sendall(framed(0, 0))
+
+
+class Fleet:
+    """The whole world of a run."""
+
+    def __init__(self, folder: Path, seed: int, gateways: int, planners: int, zones: int = 4, caches: int = 4,
+                 hubs: int = 2, parents: int = 4, leaves: bool = True) -> None:
+        self.folder, self.seed, self.program, self.leaves = folder, seed, ("lilacloft",), leaves
+        self.account, self.timers, self.lock = Account(), Timers(), threading.Lock()
+        self.zones, self.hubs = zones, hubs
+        self.number, self.over = 1, False
+        self.sockets, self.memory_mb = 1024, 192
+        self.bes: dict[str, Meta] = {}
+        for number in range(zones * caches):
+            self._be(number + 1, "small", number // caches)
+        for number in range(parents):
+            self._be(1000 + number, "parent", zones + number % hubs)
+        self._be(int(ORIGIN[2:], 16), "origin", zones)
+        self.caches = [be for be in self.bes.values() if be.kind == "small"]
+        self.parents = [be for be in self.bes.values() if be.kind == "parent"]
+        self.gateways = [Gateway(self, number) for number in range(gateways)]  # type: ignore[arg-type]
+        self.zone_of = {gateway.name: place * zones // gateways
+                        for place, gateway in enumerate(self.gateways)}
+        self.planner_names = [f"p{number}" for number in range(planners)]
+        self.real = {name: unused() for name in self.planner_names}
+        self.planners: dict[str, subprocess.Popen[bytes]] = {}
+        self.links: dict[tuple[str, str], tuple[int, int, int]] = {}  # who, whom: relay, number there, port
+        self.spec: list[list[tuple[int, int]]] = [[] for _ in range(zones + 1)]
+        self.cuts: list[tuple[str, str, float, float]] = []
+        self._wire()
+        self.relays = [self._relay(place, ports) for place, ports in enumerate(self.spec)]
+        self.sites = {place: self._site(place) for place in range(zones + hubs + 1)}
+        self.told: list[str] = []
+
+    def _be(self, number: int, kind: str, zone: int) -> None:
+        name = f"s-{number:08x}"
+        self.bes[name] = Meta(name, kind, zone, unused())
+
+    # --- links ---
+
+    def _link(self, relay: int, who: str, whom: str, port: int) -> int:
+        mine = unused()
+        self.links[who, whom] = (relay, len(self.spec[relay]), mine)
+        self.spec[relay].append((mine, port))
+        return mine
+
+    def _wire(self) -> None:
+        """A relay on every link."""
+        self.feeds: dict[str, Feed] = {}
+        for gateway in self.gateways:
+            zone = self.zone_of[gateway.name]
+            ports = {be.name: self._link(zone, gateway.name, be.name, be.port) for be in self.bes.values()
+                     if be.kind != "small" or be.zone == zone}
+            feed = self.feeds[gateway.name] = Feed(ports)
+            self._link(zone, gateway.name, "log", feed.port)
+            for name, port in self.real.items():
+                self._link(zone, gateway.name, name, port)
+        for name in self.planner_names:
+            self.feeds[name] = Feed({be.name: be.port for be in self.bes.values()})
+            for other, port in self.real.items():
+                if other != name:
+                    self._link(self.zones, name, other, port)
+        for be in self.caches:
+            for source in [*self.parents, self.bes[ORIGIN]]:
+                self._link(self.zones, be.name, source.name, source.port)
+        for be in self.parents:
+            self._link(self.zones, be.name, ORIGIN, self.bes[ORIGIN].port)
+
+    def _relay(self, place: int, ports: list[tuple[int, int]]) -> Worker:
+        path = self.folder / f"relay-{place}.json"
+        path.write_text(json.dumps({"ports": ports, "seed": self.seed * 100 + place}))
+        return Worker(["-m", "rigs.relay", str(path)], self.folder / f"relay-{place}.log")
+
+    def cut(self, pairs: Iterable[tuple[str, str]], way: str = "both", broken: bool = False,
+            seconds: float = 0.0, **told: Any) -> None:
+        """Set faults on links; `seconds`: for so long nothing may pass, for the judge."""
+        by: dict[int, list[int]] = {}
+        now = time.time()
+        for pair in pairs:
+            if pair in self.links:
+                relay, number, _ = self.links[pair]
+                by.setdefault(relay, []).append(number)
+                if seconds:
+                    self.cuts.append((*pair, now, now + seconds))
+        for relay, numbers in by.items():
+            self.relays[relay].say({"links": numbers, "way": way, "set": told, "break": broken})
+
+    # --- boxes ---
+
+    def of(self, site: int) -> list[Meta]:
+        """The bes of a process: a location's, a hub's, or the last: the origin."""
+        if site == self.zones + self.hubs:
+            return [self.bes[ORIGIN]]
+        return [be for be in self.bes.values() if be.zone == site and be.kind != "origin"]
+
+    def _site(self, place: int) -> Worker:
+        return Worker(["-m", "rigs.boxes", str(self.folder / f"site-{place}.json")],
+                      self.folder / f"site-{place}.log")
+
+    def start_site(self, place: int) -> None:
+        mine = self.of(place)
+        names = {be.name for be in mine}
+        spec = {"seed": self.seed, "account": str(self.folder / f"account-{place}.jsonl"), "origin": ORIGIN,
+                "boxes": {be.name: {"kind": be.kind, "port": be.port, "started": be.started} for be in mine},
+                "sources": {name: {whom: port for (who, whom), (_, _, port) in self.links.items()
+                                   if who == name} for name in names}}
+        (self.folder / f"site-{place}.json").write_text(json.dumps(spec))
+        self.sites[place].start()
+
+    def box(self, names: Iterable[str], **told: Any) -> None:
+        names = list(names)
+        for place, site in self.sites.items():
+            mine = [be.name for be in self.of(place) if be.name in names]
+            if mine:
+                site.say({"boxes": mine, **told})
+
+    # --- the change log ---
+
+    def listed(self, be: Meta) -> None:
+        self.account.write("log", "listed", be=be.name, state=be.state, started=be.started, capacity=5.0,
+                           kind=be.kind)
+
+    def tell(self, bes: Iterable[Meta]) -> None:
+        """Their states have changed."""
+        for be in bes:
+            self.number += 1
+            self.listed(be)
+            for feed in self.feeds.values():
+                if be.name in feed.ports:
+                    number = int(be.name[2:], 16)
+                    payload = bytearray(record(number, feed.ports[be.name], STATES[be.state],
+                                               KINDS.index(be.kind), int(be.started * 1000)))
+                    payload[11] = be.zone  # record() knows two locations only
+                    feed.add(self.number, 2, bytes(payload))
+
+    def purge(self, key: str) -> None:
+        self.number += 1
+        now = time.time()
+        self.account.write("log", "purge", at=now, key=key, group=0)
+        for feed in self.feeds.values():
+            feed.add(self.number, 3, struct.pack(">QQ", int(key, 16), int(now * 1000)))
+        self.timers.after(5.0, lambda: self.box(self.bes, drop=[key, now]))
+
+    # --- gateways and planners ---
+
+    def chance(self, purpose: str) -> Any:
+        return Scene.chance(self, purpose)  # type: ignore[arg-type]
+
+    def settings(self, zone: int, slot: int) -> dict[str, Any]:
+        out = copy.deepcopy(ENV)
+        out["classes"] = copy.deepcopy(VHOSTS)
+        out["familyInfo"].update(FAMILY)
+        mine = [sum(of == one for of in self.zone_of.values()) for one in range(self.zones)]
+        out.update(zones=[f"z{one}" for one in range(self.zones)] + [f"h{one}" for one in range(self.hubs)],
+                   zone=zone, balancers=len(self.gateways), slotNo=slot)
+        out["familyInfo"].update(zoneBalancers=mine + [0] * self.hubs, passThroughOk=True,
+                                 feedKbPerS=[40_000.0] * self.zones + [0] * self.hubs)
+        return out
+
+    def config(self, gateway: Any) -> dict[str, Any]:
+        """The platform's file for a gateway, or for a planner by its name."""
+        name = gateway if isinstance(gateway, str) else gateway.name
+        feed, zone = self.feeds[name], self.zone_of.get(name, 0)
+        names = [one for one in self.zone_of if self.zone_of[one] == zone]
+        targets = [{"uid": be.name, "endpoint": f"127.0.0.1:{feed.ports[be.name]}", "model": be.kind,
+                    "state": be.state, "az": f"z{be.zone}" if be.zone < self.zones else
+                    f"h{be.zone - self.zones}", "pod_group": 0, "capacity_hint": 5,
+                    "boot_ms": int(be.started * 1000)} for be in self.bes.values() if be.name in feed.ports]
+        port = self.links[name, "log"][2] if (name, "log") in self.links else feed.port
+        known = {"seq": self.number, "fleet": {"rev": 1, "all": True, "targets": targets}}
+        listen = f"127.0.0.1:{unused() if isinstance(gateway, str) else gateway.port}"
+        return {"name": name, "listen": listen, "seed": "00", "changelog": f"127.0.0.1:{port}",
+                "settings": self.settings(zone, names.index(name) if name in names else 0),
+                "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
+                "known": {"seq": self.number, "results": [known]}}
+
+    def places(self, who: str) -> str:
+        """All planners, at the ports at which one reaches them."""
+        return ",".join(f"{name}=127.0.0.1:{port if name == who else self.links[who, name][2]}"
+                        for name, port in self.real.items())
+
+    def start_gateway(self, gateway: Gateway) -> None:
+        words: tuple[str, ...] = ()
+        if self.planner_names:
+            leave = " (zones (leave past))" if self.leaves else ""
+            words = gateway.settings(f'(plan (planners "{self.places(gateway.name)}"){leave})')
+        gateway.start(*words)
+
+    def start_planner(self, name: str) -> None:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self.config(name)))
+        words = ["--config", str(path), "--name", name, "--planners", self.places(name), "--store",
+                 str(self.folder / f"store-{name}"), *(["--leave", "past"] if self.leaves else [])]
+        with (self.folder / f"{name}.log").open("ab") as file:
+            self.planners[name] = subprocess.Popen(
+                [sys.executable, "-m", "lilacloft", "plan", "serve", *words], stderr=file,
+                stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+
+    def asked(self, name: str, *words: str) -> list[str]:
+        told = subprocess.run([sys.executable, "-m", "lilacloft", "plan", words[0],
+                               f"127.0.0.1:{self.real[name]}", *words[1:]], capture_output=True, text=True,
+                              timeout=20)
+        return told.stdout.splitlines()
+
+    def start(self) -> None:
+        """All processes; boxes and relays first."""
+        for be in self.bes.values():
+            self.listed(be)
+        with ThreadPoolExecutor(8) as pool:
+            list(pool.map(lambda one: one.start(), self.relays))
+            list(pool.map(self.start_site, self.sites))
+            list(pool.map(self.start_planner, self.planner_names))
+            list(pool.map(self.start_gateway, self.gateways))
+
+    def close(self) -> None:
+        self.over = self.timers.over = True
+        for process in [*self.planners.values(), *(one.process for one in self.gateways if one.process)]:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+        for worker in [*self.sites.values(), *self.relays]:
+            worker.kill()
+        for feed in self.feeds.values():
+            feed.break_off()
+            feed.close()
+
+    def entries(self) -> list[dict[str, Any]]:
+        """Everybody's account, in the order of time."""
+        out = list(self.account.entries)
+        for path in sorted(self.folder.glob("account-*.jsonl")):
+            out += [json.loads(line) for line in path.read_text().splitlines() if line.endswith("}")]
+        return sorted(out, key=lambda entry: entry["at"])
+
+    def limits(self) -> Limits:
+        return Scene.limits(self)  # type: ignore[arg-type]
+
+    # --- the script ---
+
+    def struck(self, fault: Fault) -> list[Meta]:
+        number = int(fault.which) if fault.which.isdigit() else 0
+        return {"cache": self.caches[number : number + 1], "parent": self.parents[number : number + 1],
+                "zone": [be for be in self.caches if be.zone == number],
+                "hub": [be for be in self.parents if be.zone == self.zones + number],
+                "origin": [self.bes[ORIGIN]]}.get(fault.whom, [])
+
+    def actions(self, fault: Fault) -> list[tuple[float, Callable[[], None]]]:
+        """What a fault is here: what to do, and when."""
+        at, span, end = fault.at / SECOND, fault.span / SECOND, fault.end / SECOND
+        names = [be.name for be in self.struck(fault)]
+        to = [(gateway.name, name) for gateway in self.gateways for name in names]
+        gateways = self.gateways[int(fault.which): int(fault.which) + 1] if fault.whom == "gateway" else []
+        of = [(who, whom) for who, whom in self.links if who in {one.name for one in gateways}
+              and whom in self.bes]
+        if fault.kind == "silent":
+            return [(at, lambda: self.box(names, set={"silent": True})),
+                    (end, lambda: self.box(names, set={"silent": False}))]
+        if fault.kind == "slow":
+            return [(at, lambda: self.box(names, set={"slow": (fault.hard - 1) * 0.03})),
+                    (end, lambda: self.box(names, set={"slow": 0.0}))]
+        if fault.kind in ("deaf", "mute"):
+            way = "up" if (fault.kind == "deaf") == bool(names) else "down"
+            return [(at, lambda: self.cut(to + of, way, seconds=span + 1, stall=True)),
+                    (end, lambda: self.cut(to + of, way, True, stall=False))]
+        if fault.kind == "lossy":
+            return [(at, lambda: self.cut(to + of, seconds=span + 1, lossy=fault.hard)),
+                    (end, lambda: self.cut(to + of, lossy=0.0))]
+        if fault.kind == "apart":
+            mine = {one for one, zone in self.zone_of.items() if zone == int(fault.which)}
+            mine |= {be.name for be in self.caches if be.zone == int(fault.which)}
+            pairs = [(who, whom) for who, whom in self.links if who in mine and whom in self.bes
+                     and self.bes[whom].kind != "small"]
+            return [(at, lambda: self.cut(pairs, seconds=span + 1, stall=True)),
+                    (end, lambda: self.cut(pairs, "both", True, stall=False))]
+        if fault.kind in ("cold", "down") and fault.whom in ("zone", "hub"):
+            place = int(fault.which) + (self.zones if fault.whom == "hub" else 0)
+            return [(at, lambda: self.sites[place].kill()),
+                    (max(end, at + UP_AGAIN), lambda: self._born(place))]
+        if fault.kind == "drain":
+            return [(at, lambda: self._state(names, "leaving")), (end, lambda: self._state(names, "active"))]
+        if fault.kind == "purge" and fault.whom == "object":
+            key = f"{int(fault.which[1:]):016x}"
+            return [(at + 0.1 * nth, lambda: self.purge(key)) for nth in range(int(fault.hard))]
+        if fault.kind == "restart":
+            return [(at, lambda: [self._again(one) for one in gateways] and None)]
+        if fault.kind == "stop":
+            return [(at, lambda: self._signal(gateways, signal.SIGSTOP)),
+                    (end, lambda: self._signal(gateways, signal.SIGCONT))]
+        if fault.kind == "break":
+            pairs = [(one.name, "log") for one in gateways or self.gateways]
+            return [(at, lambda: self.cut(pairs, stall=True)), (end, lambda: self.cut(pairs, stall=False))]
+        return []
+
+    def _born(self, place: int) -> None:
+        now = time.time()
+        for be in self.of(place):
+            be.started = now
+        self.start_site(place)
+        self.tell(self.of(place))
+
+    def _state(self, names: list[str], state: str) -> None:
+        bes = [self.bes[name] for name in names]
+        for be in bes:
+            be.state = state
+        self.tell(bes)
+
+    def _again(self, gateway: Gateway) -> None:
+        assert gateway.process is not None
+        gateway.process.kill()
+        gateway.process.wait()
+        threading.Thread(target=self.start_gateway, args=(gateway,), daemon=True).start()
+
+    @staticmethod
+    def _signal(gateways: list[Gateway], number: int) -> None:
+        for gateway in gateways:
+            if gateway.process is not None and gateway.process.poll() is None:
+                gateway.process.send_signal(number)
+
+    def planner_actions(self, trouble: Trouble) -> list[tuple[float, Callable[[], None]]]:
+        if trouble.planner >= len(self.planner_names):
+            return []
+        name, at, end = self.planner_names[trouble.planner], trouble.at / SECOND, (
+            trouble.at + trouble.span) / SECOND
+        if trouble.kind == "kill":
+            def kill() -> None:
+                self.planners[name].kill()
+                self.planners[name].wait()
+            return [(at, kill), (end, lambda: self.start_planner(name))]
+        if trouble.kind == "old":
+            return []
+        pairs = [(who, whom) for who, whom in self.links if whom == name or who == name]
+        if trouble.kind == "cut":
+            pairs = [pair for pair in pairs if pair[0] in self.zone_of][::2]
+        else:
+            pairs = [pair for pair in pairs if pair[0] in self.planner_names]
+        return [(at, lambda: self.cut(pairs, stall=True)), (end, lambda: self.cut(pairs, stall=False))]
+
+    def excused(self, breach: Breach, entries: list[dict[str, Any]]) -> bool:
+        """Was a dispatch called back behind a link that was cut, where nobody could tell its box?"""
+        if breach.rule != 2 or "out twice" not in breach.text:
+            return False
+        first = breach.text.rpartition(" ")[2]
+        return any(whom == first and begin <= breach.at <= end for _, whom, begin, end in self.cuts)
+
+
+def drawn(seed: int, seconds: float, count: int, sizes: dict[str, int]) -> list[Fault]:
+    """So many faults of those that processes can have, from a seed."""
+    stream = Chance(seed).stream("fleet")
+    return [fault for fault in language.draw(stream, sizes, int(seconds * SECOND), count, dict(DRAWN))
+            if fault.whom not in ("shelf", "version", "group")
+            and not (fault.kind in ("cold", "down") and fault.whom not in ("zone", "hub"))]
+
+
+def run(script: str, gateways: int, planners: int, seconds: float, rate: float, seed: int, count: int = 0,
+        leaves: bool = True, caches: int = 4, keep: Path | None = None) -> dict[str, Any]:
+    """One run: a script of `rigs.zones`, or `drawn`."""
+    with tempfile.TemporaryDirectory(prefix="fleet") as name:
+        fleet = Fleet(keep or Path(name), seed, gateways, planners, caches=caches, leaves=leaves)
+        sizes = {"zone": 4, "hub": 2, "cache": 4 * caches, "parent": 4, "gateway": gateways, "object": 40}
+        told = SCRIPTS.get(script)
+        faults = language.parse(told.faults) if told else drawn(seed, seconds, count, sizes)
+        due = [action for fault in faults for action in fleet.actions(fault)]
+        due += [action for trouble in (told.troubles if told else ())
+                for action in fleet.planner_actions(trouble)]
+        try:
+            fleet.start()
+            load = Load(fleet, rate, held=1)  # type: ignore[arg-type]
+            load.start()
+            time.sleep(3.0)
+            load.times.clear()
+            before, began = dict(load.counts), time.monotonic()
+            for at, action in sorted(due, key=lambda one: one[0]):
+                if at >= seconds:
+                    continue
+                time.sleep(max(0.0, began + at - time.monotonic()))
+                action()
+            time.sleep(max(0.0, began + seconds - time.monotonic()))
+            load.stop()
+            counts = {key: load.counts[key] - before[key] for key in before}
+            said = {f"{name} {zone}": fleet.asked(name, "explain", f"zone {zone}")
+                    for name in fleet.planner_names if fleet.planners[name].poll() is None
+                    for zone in range(6)} if leaves else {}
+            entries = fleet.entries()
+            breaches = check(entries, fleet.limits())
+            logs = [path.read_text() for path in sorted(fleet.folder.glob("*.log"))]
+        finally:
+            fleet.close()
+    real = [one for one in breaches if not fleet.excused(one, entries)]
+    left = {place: lines for place, lines in said.items() if any("left, 0" in line for line in lines)}
+    answered = sum(counts[what] for what in ("done", "denied", "aborted"))
+    return {"script": script, "faults": [str(fault) for fault in faults], "gateways": gateways,
+            "planners": planners, "seconds": seconds, "rate": rate, "seed": seed, "leaves": leaves,
+            "counts": counts, "done": counts["done"] / max(1, answered), "breaches": len(real),
+            "first": [str(one) for one in real[:8]], "beyond": len(breaches) - len(real),
+            "faults_seen": sum(text.count("Traceback") for text in logs), "left": left,
+            "latency_ms": histogram([took for _, took, _, word in load.times if word == "200"]),
+            "tail": [text[-1500:] for text in logs if "Traceback" in text][:3]}
+
+
+def main(words: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m rigs.fleet", description=__doc__)
+    parser.add_argument("script", choices=[*SCRIPTS, "drawn"])
+    parser.add_argument("--gateways", type=int, default=24)
+    parser.add_argument("--planners", type=int, default=3)
+    parser.add_argument("--caches", type=int, default=4, help="of each location")
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--rate", type=float, default=150.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--drawn", type=int, default=6, help="faults, where the script is drawn")
+    parser.add_argument("--kept", action="store_true", help="no location is left: our earlier version")
+    parser.add_argument("--json", metavar="FILE")
+    given = parser.parse_args(words)
+    report = run(given.script, given.gateways, given.planners, given.seconds, given.rate, given.seed,
+                 given.drawn, not given.kept, given.caches)
+    text = json.dumps(report, indent=1)
+    if given.json:
+        Path(given.json).write_text(text + "\n")
+    print(text)
+    return 0 if not (report["breaches"] or report["faults_seen"]) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
