--- a/lilacloft/plan/agent.py
+++ b/lilacloft/plan/agent.py
@@ -15,6 +15,7 @@
 from lilacloft.plan.watch import Watch
 from lilacloft.plan.wire import Dial, Peer
 from lilacloft.zones.keep import Keeper
+from lilacloft.zones.slices import SLICES
 
 
 class Agent:
@@ -34,6 +35,7 @@
         self.counted = 0
         self.dials = {other: Dial(place, self._hello, self._heard) for other, place in planners.items()}
         self.held = follower.holder.name
+        self.away: dict[int, int] = {}  # slices at home, of locations that have not all
         owner.agent = self
         self.told(owner.bes)
 
@@ -85,6 +87,25 @@
         if effect.name != self.held and self.owner.recorder:
             self.owner.recorder.planned(effect)
         self.held = effect.name
+        self._note()
+
+    def _note(self) -> None:
+        """What has become of locations goes to the log and the records."""
+        keeper, holds = self.follower.keeper, self.held.planner != ""
+        now = keeper.holds() if keeper else {}
+        for zone in sorted(now.keys() | self.away.keys()):
+            back, fails = now.get(zone, (SLICES, 0))
+            was = self.away.get(zone, SLICES)
+            if back == was:
+                continue
+            names, told = self.owner.config["zones"], self.follower.plan.zones.get(zone) if holds else None
+            name, why = names[zone] if 0 <= zone < len(names) else str(zone), told.why if told else ""
+            if back == 0 or back == SLICES or was == 0:
+                logger.info("location {}: {} of {} slices at home{}", name, back, SLICES,
+                            f" ({why})" if why else "" if holds else " (without a plan)")
+            if self.owner.recorder:
+                self.owner.recorder.away(name, back, SLICES, fails, why, not holds)
+        self.away = {zone: back for zone, (back, _) in now.items()}
 
     # --- connections ---
 
--- a/lilacloft/record/kinds.py
+++ b/lilacloft/record/kinds.py
@@ -105,6 +105,18 @@
     link: float = 0.0  # this forwarder's part of its location's link, dispatches; 0: none set
 
 
+class Away(Record, tag="away"):
+    """More or less of a location is at home now: of so many slices, as the plan says, or as one goes on
+    alone."""
+
+    zone: str
+    back: int
+    of: int
+    failed: int = 0  # returns that failed lately
+    why: str = ""  # as the plan has it
+    alone: bool = False  # no plan holds
+
+
 class Vhost(Struct, omit_defaults=True):
     """One vhost in a summary's span."""
 
@@ -171,9 +183,10 @@
     event: int = 0
 
 
-Any_ = (Head | Start | Over | Upgrade | Listed | Purge | Belief | Cut | Planned | Second | Lost | Clock | Log)
+Any_ = (Head | Start | Over | Upgrade | Listed | Purge | Belief | Cut | Planned | Away | Second | Lost | Clock
+        | Log)
 encode = msgspec.json.Encoder().encode
 decode = msgspec.json.Decoder(Any_).decode
 loose = msgspec.json.Decoder(dict[str, Any]).decode
-KINDS = {"head", "start", "over", "upgrade", "listed", "purge", "belief", "cut", "planned", "second", "lost",
-         "clock", "log"}
+KINDS = {"head", "start", "over", "upgrade", "listed", "purge", "belief", "cut", "planned", "away", "second",
+         "lost", "clock", "log"}
--- a/lilacloft/record/writer.py
+++ b/lilacloft/record/writer.py
@@ -176,6 +176,10 @@
         self.note(kinds.Planned(planner=name.planner, epoch=name.epoch, issued=name.number,
                                 out=sorted(effect.out), limits=len(effect.ways), link=round(effect.link, 3)))
 
+    def away(self, zone: str, back: int, slices: int, fails: int, why: str, alone: bool) -> None:
+        """So much of a location is at home now."""
+        self.note(kinds.Away(zone=zone, back=back, of=slices, failed=fails, why=why, alone=alone))
+
     def limited(self, be: Any, was: float, limit: float, late: float) -> None:
         way = be.name if be.way is not None and limit == be.way.limit else "link"
         record = self.summary.limited(way, was, limit, late)
--- a/lilacloft/timeline/episodes.py
+++ b/lilacloft/timeline/episodes.py
@@ -50,6 +50,8 @@
         if self.kind == "purge":
             many = len(self.subjects)
             return f"purge of {self.subject}" if many == 1 else f"{many} purges"
+        if self.kind == "location left":
+            return f"location {self.subject} left"
         return self.kind
 
 
@@ -100,7 +102,7 @@
     spread = min(sight.spread + abs(sight.begin - begin) for sight in group)
     role = {"purge": "object", "origin slow": "origin"}.get(kind, "fleet")
     if first.subject and kind != "purge":
-        role = seen[first.gateway].role(first.subject)
+        role = "location" if kind == "location left" else seen[first.gateway].role(first.subject)
     found = Episode(kind, first.subject, role, begin, over, spread, group)
     again = [sight.end for sight in group if sight.end is not None and "answers again" in sight.acts]
     if again and kind in ("silent", "slow"):
--- a/lilacloft/timeline/sights.py
+++ b/lilacloft/timeline/sights.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from lilacloft.record.kinds import Belief, Cut, Listed, Planned, Purge, Second, Start
+from lilacloft.record.kinds import Away, Belief, Cut, Listed, Planned, Purge, Second, Start
 from lilacloft.record.reader import Run
 from lilacloft.timeline.clocks import Clock, own
 from lilacloft.timeline.columns import Columns
@@ -105,12 +105,37 @@
 def sights(seen: Seen) -> list[Sight]:
     """All that one gateway saw."""
     return [*_beliefs(seen), *_listed(seen), *_purges(seen), *_waits(seen), *_caches(seen), *_fleet(seen),
-            *_plans(seen)]
+            *_plans(seen), *_away(seen)]
 
 
 # --- what planners told it ---
 
 
+def _away(seen: Seen) -> list[Sight]:
+    """Stretches in which not all of a location was at home, as it was left and returned to."""
+    out: list[Sight] = []
+    open_: dict[str, Sight] = {}
+    for at, spread, record in seen.events:
+        if isinstance(record, Away):
+            sight = open_.get(record.zone)
+            if sight is None and record.back < record.of:
+                sight = open_[record.zone] = Sight(seen.gateway, "location left", record.zone, at, None,
+                                                   spread, record.why or "left without a plan", [], at)
+                out.append(sight)
+            if sight is not None:
+                how = " without a plan" if record.alone else ""
+                why = f": {record.why}" if record.why and record.back in (0, record.of) else ""
+                sight.acts.append(f"{record.back} of {record.of} slices at home{how}{why}")
+                if record.back >= record.of:
+                    sight.end = at
+                    del open_[record.zone]
+        elif isinstance(record, Start) and record.why != "upgrade":
+            for sight in open_.values():  # another process, which has all of it at home until it is told
+                sight.end = at
+            open_.clear()
+    return out
+
+
 def _plans(seen: Seen) -> list[Sight]:
     """Stretches in which a forwarder that had held a plan held none, and was a gateway alone: from the
     record that says so to the next plan, or to its process's end. A forwarder that never held one tells
--- a/lilacloft/zones/evidence.py
+++ b/lilacloft/zones/evidence.py
@@ -6,8 +6,9 @@
 
 - most of its forwarders that have looked lately see most of what they have looked at fail (two of them at
   least, where it has two: one forwarder's bad path must move nobody),
-- and over all of them most of the bes that were looked at fail, which are at least half of those ready, or
-  `ENOUGH`: that so many fail together by chance is rarer than anything a location shows.
+- and over all of them most of the bes that were looked at fail, which are two or more (where there are
+  two), and at least half of those ready, or `ENOUGH`: that so many fail together by chance is rarer than
+  anything a location shows.
 
 What more than `MOST` of all locations of a kind show is not theirs but what they share, the origin's or
 everybody's: nobody leaves then, as there is nowhere better to go. A planner that hears fewer than half of a
@@ -112,7 +113,7 @@
     by, against, each = _votes(view, place.bes, heard, place.parents)
     failing = [be for be, (bad, well) in each.items() if bad > well]
     named = (len(by) >= min(VOTES, len(heard)) and by and len(by) >= FAILS * (len(by) + len(against))
-             and len(each) >= max(1, min(ENOUGH, LOOKED * len(place.bes)))
+             and len(each) >= max(min(2, len(place.bes)), min(ENOUGH, LOOKED * len(place.bes)))
              and len(failing) >= FAILS * len(each))
     if named:
         return Finding(HUB if place.parents else CACHES, True, by, against, len(failing), len(each))
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,150 @@
+"""Many processes of the program with faults between them: gateways, planners, boxes, relays on all links."""
+
+import json
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from lilacloft.emulator.faults import parse
+from rigs.fleet import Fleet, drawn, run
+from rigs.relay import HOLDS
+from rigs.stands import unused
+
+pytestmark = pytest.mark.xdist_group("fleet")  # some twenty processes each: one run at a time
+
+
+class Linked:
+    """A relay process with one link to a stand-in that sends back what it gets."""
+
+    def __init__(self, tmp_path):
+        self.port = unused()
+        self.far = socket.create_server(("127.0.0.1", 0))
+        spec = tmp_path / "spec.json"
+        spec.write_text(json.dumps({"ports": [[self.port, self.far.getsockname()[1]]], "seed": 1}))
+        words = [sys.executable, "-m", "rigs.relay", str(spec)]
+        self.process = subprocess.Popen(words, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        assert self.process.stdout.readline() == b"ready\n"
+
+    def pair(self):
+        near = socket.create_connection(("127.0.0.1", self.port), 5)
+        far, _ = self.far.accept()
+        for sock in (near, far):
+            sock.settimeout(5)
+        return near, far
+
+    def say(self, way="both", broken=False, **told):
+        line = json.dumps({"links": [0], "way": way, "set": told, "break": broken})
+        self.process.stdin.write(line.encode() + b"\n")
+        self.process.stdin.flush()
+
+    def close(self):
+        self.process.stdin.close()
+        assert self.process.wait(10) == 0
+        self.far.close()
+
+
+@pytest.fixture
+def link(tmp_path):
+    made = Linked(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_link_passes_both_ways_and_a_close(link):
+    near, far = link.pair()
+    near.sendall(b"there")
+    assert far.recv(10) == b"there"
+    far.sendall(b"back")
+    assert near.recv(10) == b"back"
+    far.close()
+    assert near.recv(10) == b""
+
+
+def test_a_stalled_direction_holds_what_comes_and_gives_it_on_at_the_heal(link):
+    near, far = link.pair()
+    link.say("down", stall=True)
+    far.settimeout(0.3)
+    until = time.monotonic() + 5
+    while time.monotonic() < until:  # the command is on its way beside the connection
+        far.sendall(b"x")
+        near.settimeout(0.2)
+        try:
+            near.recv(10)
+        except TimeoutError:
+            break
+    near.sendall(b"up passes")
+    assert far.recv(20) == b"up passes"
+    link.say("down", stall=False)
+    near.settimeout(5)
+    assert near.recv(10)
+
+
+def test_a_stalled_link_holds_no_more_than_its_bound(link):
+    near, far = link.pair()
+    link.say("up", stall=True)
+    time.sleep(0.3)
+    near.setblocking(False)
+    sent, until = 0, time.monotonic() + 2
+    while time.monotonic() < until:
+        try:
+            sent += near.send(b"." * 65536)
+        except BlockingIOError:
+            time.sleep(0.01)
+    assert sent < HOLDS + (16 << 20)  # the rest is in the kernel's buffers
+    status = Path(f"/proc/{link.process.pid}/status").read_text()
+    assert int(status.split("VmRSS:")[1].split()[0]) < 60_000
+
+
+def test_what_is_open_can_be_reset(link):
+    near, _ = link.pair()
+    link.say(broken=True)
+    with pytest.raises(ConnectionResetError):
+        near.recv(10)
+
+
+def test_faults_are_drawn_alike_and_only_those_that_processes_can_have():
+    sizes = {"zone": 4, "hub": 2, "cache": 16, "parent": 4, "gateway": 24, "object": 40}
+    one = drawn(7, 60.0, 12, sizes)
+    assert one == drawn(7, 60.0, 12, sizes) and one != drawn(8, 60.0, 12, sizes)
+    assert {fault.whom for fault in one} <= {"zone", "hub", "cache", "parent", "gateway", "object", "origin",
+                                             "log"}
+
+
+def test_each_fault_of_the_scripts_has_something_done_here(tmp_path):
+    fleet = Fleet(tmp_path, 1, 4, 1, caches=1)
+    try:
+        for text in ("(silent (zone 1))", "(silent origin)", "(mute (cache 0))", "(deaf (gateway 1))",
+                     "(apart (zone 2))", "(slow origin 3)", "(lossy (hub 1) 0.2)", "(break log)",
+                     "(stop (gateway 0))", "(down (hub 0))", "(drain (zone 0))"):
+            assert len(fleet.actions(parse(f"(at 1s {text} (for 2s))")[0])) == 2, text
+        assert len(fleet.actions(parse("(at 1s (cold (zone 1)))")[0])) == 2
+        assert len(fleet.actions(parse("(at 1s (restart (gateway 1)))")[0])) == 1
+        assert len(fleet.actions(parse("(at 1s (purge (object o3) 2))")[0])) == 2
+    finally:
+        fleet.close()
+
+
+def check(report):
+    assert report["breaches"] == 0 and report["faults_seen"] == 0, (report["first"], report["tail"])
+    assert report["counts"]["asked"] > 300 and report["done"] > 0.85
+
+
+def test_a_lost_location_is_left_and_back_on_processes():
+    report = run("silent-cold", 8, 3, 18.0, 50.0, 1, caches=2)
+    check(report)
+    told = "\n".join(report["left"]["p0 1"])
+    assert "left, 0 of 64 slices: its caches fail" in told and "returning" in told
+    assert not any(place.endswith((" 0", " 2", " 3")) for place in report["left"])
+
+
+def test_planners_that_all_die_meanwhile_leave_gateways_that_go_on():
+    report = run("nobody", 8, 3, 16.0, 50.0, 2, caches=2)
+    check(report)
+
+
+def test_faults_drawn_from_a_seed_break_no_rule():
+    check(run("drawn", 8, 3, 14.0, 50.0, 5, count=8, caches=2))
--- a/tests/test_planes.py
+++ b/tests/test_planes.py
@@ -16,7 +16,7 @@
 from lilacloft.plan.order import Name
 from lilacloft.plan.sights import Sight
 from lilacloft.plan.wire import WAITS, Dial, Door, Peer
-from lilacloft.plan.words import Ask, Given, Plan, Reply, Summary, Word, delta
+from lilacloft.plan.words import Ask, Given, Plan, Reply, Summary, Word, applied, delta
 from rigs.planes import Planners, run
 from rigs.scene import Scene
 from rigs.stands import unused
@@ -196,3 +196,16 @@
     finally:
         planners.close()
         scene.close()
+
+
+def test_what_is_told_of_locations_reads_the_same_and_an_older_reader_skips_it():
+    from lilacloft.zones.course import Tally, Told
+
+    summary = Summary("f1", 7, 9, 3, sights={"b": Sight(1, 2, 3, 4, True, 1.5, 5, 60, 7, 8)}, asked=12.5,
+                      past=3.25, tallies={2: Tally(5, 4, 3, 2), -1: Tally(1)}, left={2: (40, 3), -1: (0, 0)})
+    assert form.summarized(body(form.summary(summary)).summary) == summary
+    one = Plan(Name(1, 2, "p"), 3, zones={0: Told(0, 1, 4.25, "f1", "its caches fail"), -2: Told(63)})
+    two = Plan(Name(1, 3, "p"), 3, zones={-2: Told(64, 2)})
+    for reply in (Reply("p0", 1, 2, 30_000, one), Reply("p0", 1, 2, 30_000, None, delta(one, two))):
+        assert form.replied(body(form.reply(reply)).reply) == reply
+    assert applied(one, delta(one, two)) == two
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -347,7 +347,8 @@
     agent = Agent.__new__(Agent)
     agent.owner = SimpleNamespace(recorder=recorder, time=0, steady=0)
     agent.watch = SimpleNamespace(act=lambda time, steady: next(effects))
-    agent.held = Name()
+    agent.held, agent.away = Name(), {}
+    agent.follower = SimpleNamespace(keeper=None)
     for _ in range(5):
         agent._act()
     held = [(one.planner, one.epoch, one.issued) for one in written]
@@ -356,3 +357,29 @@
     assert all(isinstance(one, kinds.Planned) for one in written)
     again = kinds.decode(kinds.encode(written[0]))
     assert again == written[0]
+
+
+def test_what_becomes_of_locations_is_written_once_each_time_it_changes():
+    from types import SimpleNamespace
+
+    from lilacloft.plan.agent import Agent
+    from lilacloft.plan.order import Name
+    from lilacloft.record.writer import Recorder
+    from lilacloft.zones.course import Told
+
+    written = []
+    recorder = SimpleNamespace(note=written.append)
+    recorder.away = lambda *told: Recorder.away(recorder, *told)
+    holds = iter([{1: (0, 0)}, {1: (0, 0)}, {1: (4, 1)}, {}, {}])
+    agent = Agent.__new__(Agent)
+    agent.owner = SimpleNamespace(recorder=recorder, config={"zones": ["here", "there"]})
+    agent.follower = SimpleNamespace(keeper=SimpleNamespace(holds=lambda: next(holds)),
+                                     plan=SimpleNamespace(zones={1: Told(0, why="its caches fail")}))
+    agent.away = {}
+    for planner in ("p1", "p1", "", "p1", "p1"):
+        agent.held = Name(1, 1, planner)
+        agent._note()
+    assert [(one.zone, one.back, one.failed, one.why, one.alone) for one in written] == [
+        ("there", 0, 0, "its caches fail", False), ("there", 4, 1, "", True),
+        ("there", 64, 0, "its caches fail", False)]
+    assert kinds.decode(kinds.encode(written[1])) == written[1]
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -297,6 +297,26 @@
     assert len(sights) == 1 and sights[0].acts == ["the gateway restarted"]
 
 
+def test_a_location_that_is_left_is_one_episode_until_all_have_it_back():
+    def told(name, late):
+        one = Teller(name).start().seconds(0, 30)
+        for at, back in ((5.0, 0), (11.0, 1), (11.5, 5), (12.0, 64)):
+            why = "" if back else "its caches fail"
+            one.add(at + late, kinds.Away(zone="z1", back=back, of=64, why=why))
+        return one
+
+    lone = Teller("n2").start().seconds(0, 30).add(5.5, kinds.Away(zone="z1", back=0, of=64, alone=True))
+    lone.add(9.0, kinds.Start(why="start"))  # another process: it has all at home until it is told
+    found = [one for one in tell(told("n0", 0.0), told("n1", 0.4), lone).episodes
+             if one.kind == "location left"]
+    assert [one.title() for one in found] == ["location z1 left"] and found[0].role == "location"
+    assert found[0].begin == pytest.approx(UNIX / 10 + 5000, abs=20)
+    assert found[0].end == pytest.approx(UNIX / 10 + 12_400, abs=20)
+    assert found[0].sights[0].acts[0] == "0 of 64 slices at home: its caches fail"
+    assert [sight.acts for sight in found[0].sights if sight.gateway == "n2"] == [
+        ["0 of 64 slices at home without a plan"]]
+
+
 def test_bad_clients_a_crowd_and_lost_answers_are_the_fleets():
     bad = Teller("n0").start().seconds(0, 20)
     for second in range(21, 26):
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -137,7 +137,8 @@
         dead = {be for be in bes if sum(bad for (_, one), bad in pairs.items() if one == be)
                 > sum(not bad for (_, one), bad in pairs.items() if one == be)}
         if (len(see) >= min(2, len(names)) and see and len(see) >= 0.75 * len(who)
-                and (2 * len(bes) >= len(place.bes) or len(bes) >= 8) and bes
+                and (2 * len(bes) >= len(place.bes) or len(bes) >= 8) and len(bes) >= min(2, len(place.bes))
+                and bes
                 and len(dead) >= 0.75 * len(bes)):
             named.append(zone)
     return named if 2 * len(named) <= sum(not place.parents for place in view.places.values()) else []
