--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -334,3 +334,22 @@
     assert held == 40 * WORLDS["small"].caches
     assert fleet.events.now == START and hashlib.blake2b(digest_size=12).digest_size == 12
     assert faults.SECOND == SECOND
+
+
+class OneParent(Router):
+    """All parts of an object have one parent, as before the parent by part."""
+
+    def _order(self, pool, key):
+        return super()._order(pool, key.split()[0] if pool is self.parents else key)
+
+
+def test_a_hot_object_of_many_parts_weighs_on_all_parents():
+    """Half of all reqs ask for the parts of one object that is purged again and again: in each of ten locations
+    all parts are filled anew, and no parent alone can send them (incident one-parent-for-a-hot-object.md).
+    Served is counted in worth, not as a part: who is served asks for the next part."""
+    faults = parse("(at 1s (hot (object o7) 0.5) (for 6s)) " + " ".join(
+        f"(at {1 + 0.9 * nth:.1f}s (purge (object o7) 1))" for nth in range(6)))
+    place = dataclasses.replace(WORLDS["hub"].lasting(7), gateways=5)
+    by_part, by_object = (Fleet(place, 2, faults, policy) for policy in (Router, OneParent))
+    assert not by_part.run().breaches and not by_object.run().breaches
+    assert by_part.earned > 1.2 * by_object.earned
