What is away from a location may go to others' caches, by hash and what they have to spare

Need: where parents cannot bear a lost location, the other locations may. Change: (zones (leave across)); a plan tells weights, each object has one location and one cache there by hash, the same at all gateways; what they cannot bear goes past the caches; cold caches elsewhere get nothing, as their own location's gateways have all of their budget.

--- a/lilacloft/cli/plan.py
+++ b/lilacloft/cli/plan.py
@@ -20,8 +20,8 @@
 @click.option("--name", required=True)
 @click.option("--planners", required=True, metavar="NAME=ADDR,...", help="all planners, this one among them")
 @click.option("--store", "folder", default="", metavar="DIR", help="keeps epochs over its ends")
-@click.option("--leave", type=click.Choice(["past", "never"]), default="never", show_default=True,
-              help="leave whole locations that fail, past their caches")
+@click.option("--leave", type=click.Choice(["past", "across", "never"]), default="never", show_default=True,
+              help="leave whole locations that fail: past their caches, or to others' caches")
 def serve(config: str | None, name: str, planners: str, folder: str, leave: str) -> int:
     """Run one planner until SIGTERM."""
     from lilacloft.config.addresses import named
@@ -35,7 +35,7 @@
     if name not in places:
         raise click.UsageError(f"{name} is none of the planners {', '.join(places)}")
     try:
-        process = Process(name, serving.read(config), places, folder, leave == "past")
+        process = Process(name, serving.read(config), places, folder, leave)
     except (KeyError, ValueError, TypeError, OSError, StoreError) as wrong:
         raise errors.UnusableError(f"the planner cannot be started: {wrong}") from wrong
 
--- a/lilacloft/config/forms.py
+++ b/lilacloft/config/forms.py
@@ -86,7 +86,7 @@
         "prometheus": Where(),
         "connect": Where(107),
     },
-    "plan": {"planners": Places(), "zones": {"leave": Choice(("past", "never"))}},
+    "plan": {"planners": Places(), "zones": {"leave": Choice(("past", "across", "never"))}},
     "store": {
         "folder": Where(),
         "patience": Quantity("span", "1ms", "1s"),
--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -125,6 +125,8 @@
         self.subscribes, self.late = settings["discovery"] == "subscribe", 0.1  # part of answers late or lost
         self.left_out, self.shares, self.yielded = {}, {}, False  # by a plan; another process is the gateway
         self.away: Mapping[int, Any] = {}  # locations that a plan leaves, or has not all back yet
+        self.across = settings.get("across", False)  # others' caches may be asked, where a plan says so
+        self.far: dict[int, list[Be]] = {}  # those, by location
         for token in ["subscribe"] * self.subscribes + ["sweep"]:
             self.woke(token)
 
@@ -140,14 +142,18 @@
             be.size = size if size > 0 else 1.0
             if started > be.started:
                 be.started, be.suspect, be.strikes, be.backoff, be.crowd = started, False, 0, 0, 0.0
-            if be.zone == self.zone or be.kind in (self.parent_kind, self.origin_kind):
+            if self.across or be.zone == self.zone or be.kind in (self.parent_kind, self.origin_kind):
                 self.known.append(be)
         self.known = sorted({be.name: be for be in self.known if be.status or be.reqs}.values(),
                             key=lambda be: be.name)
         ready = [be for be in self.known if be.status == 1]
         self.parents = [be for be in ready if be.kind == self.parent_kind]
         self.origins = [be for be in ready if be.kind == self.origin_kind]
-        self.caches = [be for be in ready if be not in self.parents and be not in self.origins]
+        caches = [be for be in ready if be not in self.parents and be not in self.origins]
+        self.caches = [be for be in caches if be.zone == self.zone]
+        self.far.clear()
+        for be in caches:
+            self.far.setdefault(be.zone, []).append(be)
         for be in ready:
             if be.way is None:
                 least = 1 / (self.zone_gateways if be in self.caches else self.gateways)
@@ -314,6 +320,9 @@
                 be.suspect or not self._room(be, vhost.work) for be in tried)):
             # past the caches: the way of uncacheable vhosts, else where all caches are suspect or cold
             over = [(be, [be]) for be in sources]
+            if gone:  # one cache elsewhere, where a plan says so; never one that is cold, as all others' is
+                there = self.far.get(self.away[self.zone].where(place), [])
+                over = [(be, sources) for be in self._order(there, place)[:1] if be not in req.avoid] + over
             ways = over if gone else over + ways if passed else ways + over
         if any(self._send(req, be, source) for be, fills in ways for source in fills):
             return
@@ -414,8 +423,8 @@
         floor, warm, multiple = self.cold_parent if be.kind == self.parent_kind else self.cold_cache
         if be.kind == self.origin_kind or not be.started or now - be.started >= warm:
             return True
-        if self.yielded:
-            return False
+        if self.yielded or (be.zone != self.zone and be.kind != self.parent_kind):
+            return False  # its own location's gateways have all of its budget
         turn = max(work, *(vhost.work for vhost in self.vhosts))
         pace = min(MARGIN * multiple / 2, BRISK) * self._part(be) * self.shares.get(be.name, 1.0) / turn
 
@@ -432,7 +441,7 @@
         # twice what its link brings in, else most reqs were fills
         feed, by = (sum(self.feed) / 1.3, self.parents) if parent else (2 * self.feed[self.zone], self.caches)
         capacity = be.size if self.sizes_told else feed / self.pace / max(1, len(by))
-        return (capacity or 1.0) / (self.gateways if parent else self.zone_gateways)
+        return (capacity or 1.0) / (self.gateways if parent or be.zone != self.zone else self.zone_gateways)
 
     def _release(self, req: Req, be: Be) -> Be:
         """Take a dispatch that is over out of the accounts; returns its source."""
--- a/lilacloft/emulator/fleet.py
+++ b/lilacloft/emulator/fleet.py
@@ -383,7 +383,11 @@
 
     def rows(self, zone: int) -> list[Box]:
         """The list as a gateway of a location gets it."""
-        return [box for box in self.boxes if (box.zone == zone or box.zone < 0) and box.status]
+        return [box for box in self.boxes if self.tells(box, zone) and box.status]
+
+    def tells(self, box: Box, zone: int) -> bool:
+        """Do a location's gateways hear of a box?"""
+        return box.zone == zone or box.zone < 0
 
     def tell(self, *event: Any) -> None:
         """The change log has an event: of boxes, or a purge."""
@@ -409,7 +413,7 @@
         if event[0] == "boxes":
             rows = []
             for box, status, started in event[1]:
-                if box.zone == gateway.zone or box.zone < 0:
+                if self.tells(box, gateway.zone):
                     rows.append(_Row(box, status, started))
             if rows:
                 gateway.told(rows)
--- a/lilacloft/emulator/planes.py
+++ b/lilacloft/emulator/planes.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lilacloft.emulator.boxes import CACHE, ORIGIN, PARENT
+from lilacloft.emulator.boxes import CACHE, ORIGIN, PARENT, Box
 from lilacloft.emulator.events import FAULT, LOG, NET, TIMER
 from lilacloft.emulator.faults import Fault
 from lilacloft.emulator.fleet import START, Fleet
@@ -48,10 +48,12 @@
 
     def begin(self) -> None:
         world, now = self.fleet.world, self.fleet.events.now
+        self.settings["across"] = self.fleet.leave == "across"
         super().begin()
         restarted = self.life > 1
         names = [f"p{number}" for number in range(self.fleet.planners_count)]
-        keeper = Keeper(self.name, world.gateways, world.cold_cache[1]) if self.fleet.leaves else None
+        leaves = self.fleet.leave != "never"
+        keeper = Keeper(self.name, world.gateways, world.cold_cache[1]) if leaves else None
         self.follower = Follower(self.name, self.life, self.zone, names, world.fall, 1 / world.gateways,
                                  self.steady(now), restarted, keeper)
         self.watch = Watch(self.router, [vhost.name for vhost in world.vhosts], self.follower)
@@ -162,9 +164,9 @@
     """A world of two levels."""
 
     def __init__(self, world: World, seed: int, faults: Iterable[Fault] = (), policy: Policy | None = None,
-                 planners: int = 3, troubles: Iterable[Trouble] = (), leaves: bool = False) -> None:
-        """`leaves`: whole locations may be left."""
-        self.leaves = leaves
+                 planners: int = 3, troubles: Iterable[Trouble] = (), leave: str = "never") -> None:
+        """`leave`: whole locations may be left, `past` their caches or `across`, to others'."""
+        self.leave = leave
         self.planners_count = planners
         self.planners: list[Plane] = []
         self.issued: list[tuple[int, Any, int]] = []
@@ -172,8 +174,8 @@
         names = tuple(f"p{number}" for number in range(planners))
         links = {zone: world.way_in for zone in range(world.zones)}
         self.site = Site(names, world.pace, links, world.parent_size * world.pace,
-                         world.origin_size * world.pace, world.fall, leaves, False,
-                         Warming(*world.cold_cache), Warming(*world.cold_parent))
+                         world.origin_size * world.pace, world.fall, leave != "never", leave == "across",
+                         False, Warming(*world.cold_cache), Warming(*world.cold_parent))
         self.planners = [Plane(self, number) for number in range(planners)]
         for trouble in troubles:
             self.events.at(START + trouble.at, FAULT, self._trouble, trouble)
@@ -181,6 +183,9 @@
     def _gateway(self, number: int, policy: Policy) -> Forwarder:
         return Forwarder(self, number, number // self.world.gateways, policy)
 
+    def tells(self, box: Box, zone: int) -> bool:
+        return self.leave == "across" or super().tells(box, zone)
+
     # --- ways ---
 
     def _way(self) -> int:
--- a/lilacloft/emulator/worlds.py
+++ b/lilacloft/emulator/worlds.py
@@ -132,7 +132,7 @@
     World("writes", habits=replace(READS, mix=(0.3, 0.2, 0.25, 0.25))),
     World("day", span=20 * SECOND, habits=replace(READS, rate=140.0, day=20 * SECOND, swing=0.7)),
     World("full", caches=6, habits=replace(READS, rate=330.0)),
-    # 200 gateways with a req a second each, and parents that bear all, but none of them a hot object of many parts
+    # 200 gateways with a req a second each; parents that bear all, none of them a hot object of many parts
     World("hub", zones=10, caches=4, gateways=20, parents=4, span=12 * SECOND, parent_size=8.0, far=30.0,
           origin_size=64.0, cache_room=200_000.0, habits=replace(
               READS, rate=200.0, objects=600, parts=8, gap=0.25, size=400.0, spread=0.3, drift=0.0,
--- a/lilacloft/plan/agent.py
+++ b/lilacloft/plan/agent.py
@@ -22,14 +22,14 @@
     """One gateway's."""
 
     def __init__(self, owner: Any, name: str, planners: Mapping[str, tuple[str, int]],
-                 leaves: bool = False) -> None:
-        """`leaves`: whole locations may be left."""
+                 leave: str = "never") -> None:
+        """`leave`: whole locations may be left, `past` their caches or `across`, to others'."""
         self.owner = owner
         router = owner.router
         keeper = Keeper(name, router.zone_gateways, router.cold_cache[1])
         follower = Follower(name, max(1, time.time_ns() // 1_000_000), router.zone, planners, router.fall,
                             1 / router.zone_gateways, owner.steady, restarted=True,
-                            keeper=keeper if leaves else None)
+                            keeper=None if leave == "never" else keeper)
         self.follower = follower
         self.watch = Watch(router, [vhost["name"] for vhost in owner.vhosts], follower)
         self.counted = 0
@@ -37,6 +37,10 @@
         self.held = follower.holder.name
         self.away: dict[int, int] = {}  # slices at home, of locations that have not all
         owner.agent = self
+        if leave == "across":
+            router.across = True
+            router.listed("delta", [(be, be.zone, be.kind, be.cell, be.status, be.size, be.started)
+                                    for be in owner.bes.values()])
         self.told(owner.bes)
 
     def start(self) -> None:
--- a/lilacloft/plan/form.py
+++ b/lilacloft/plan/form.py
@@ -38,7 +38,8 @@
     "Turn": "zone:u names:s*",
     "Tally": "zone:i well:u late:u failed:u hits:u",
     "Left": "zone:i back:u fails:u",
-    "Zone": "zone:i back:u fails:u rate:d trial:s why:s",
+    "Part": "zone:i part:d",
+    "Zone": "zone:i back:u fails:u rate:d trial:s why:s to:Part*",
     "Summary": "name:s incarnation:u number:u zone:u listed:u reqs:d fills:Pair* worth:Pair* sights:Sight* "
                "cold:Cold* asks:Ask* given:Given* holds:Name leaves:b asked:d past:d tallies:Tally* "
                "left:Left*",
@@ -203,7 +204,10 @@
     for zone, names in plan.renews.items():
         into.renews.add(zone=zone, names=names)
     for zone, one in plan.zones.items():
-        into.zones.add(zone=zone, back=one.back, fails=one.fails, rate=one.rate, trial=one.trial, why=one.why)
+        made = into.zones.add(zone=zone, back=one.back, fails=one.fails, rate=one.rate, trial=one.trial,
+                              why=one.why)
+        for other, part in one.to:
+            made.to.add(zone=other, part=part)
 
 
 def _planned(told: Any) -> Plan:
@@ -212,7 +216,8 @@
         {one.key: one.value for one in told.trials}, {one.key: one.value for one in told.ways},
         {int(one.key): one.value for one in told.links}, {one.key: one.value for one in told.parts},
         {one.zone: tuple(one.names) for one in told.renews},
-        {one.zone: Told(one.back, one.fails, one.rate, one.trial, one.why) for one in told.zones})
+        {one.zone: Told(one.back, one.fails, one.rate, one.trial, one.why,
+                        tuple((part.zone, part.part) for part in one.to)) for one in told.zones})
 
 
 def reply(told: Reply) -> bytes:
--- a/lilacloft/plan/planner.py
+++ b/lilacloft/plan/planner.py
@@ -21,6 +21,7 @@
 from lilacloft.plan.words import PARTS, Ask, Delta, Given, Plan, Reply, Summary, Word, delta
 from lilacloft.zones import evidence, pace
 from lilacloft.zones.course import Decider, Told
+from lilacloft.zones.slices import PAST, SLICES
 
 SPAN = 30_000  # for which a plan holds: some ten summaries, so that a lost one matters little
 LENDS = 50_000  # for which a part of a cold budget is lent at most
@@ -55,6 +56,7 @@
     origin: float = float("inf")
     fall: int = 10_000
     zones: bool = False  # whole locations may be left
+    across: bool = False  # and others' caches asked in their place
     sizes: bool = False  # the list tells bes' sizes
     caches: pace.Warming = field(default_factory=pace.Warming)
     hubs: pace.Warming = field(default_factory=pace.Warming)  # how parents grow warm
@@ -358,7 +360,31 @@
             return {}
         everybody = tuple(sorted(name for names in who.values() for name in names))
         hubs = dict.fromkeys(self._hubs(), everybody)
-        return self.zones.told({**hubs, **{zone: tuple(names) for zone, names in who.items()}}, now)
+        to = self._across(now) if self.site.across else {}
+        return self.zones.told({**hubs, **{zone: tuple(names) for zone, names in who.items()}}, now, to)
+
+    def _across(self, now: int) -> dict[int, tuple[tuple[int, float], ...]]:
+        """Which locations take what is away from which, by what those that are all in use have to spare."""
+        if self.zones is None:
+            return {}
+        places = {zone: place for zone, place in self._places().items() if not place.parents}
+        courses = self.zones.courses
+        away = [zone for zone in places if zone in courses and courses[zone].back < SLICES]
+        bears = {zone: self._bears(zone, place) for zone, place in places.items()}
+        spare = {}
+        for zone in places:
+            if zone not in away:
+                able = sum(size for size, age in bears[zone].sizes if age >= self.site.caches.warm)
+                spare[zone] = max(0.0, able * self.site.pace - bears[zone].demand) / max(1, len(away))
+        out = {}
+        for zone in away:
+            fresh = pace.spread(spare, bears[zone].demand, PAST)
+            before = self.plan.zones[zone].to if zone in self.plan.zones else ()
+            # what little changes would move objects for nothing; whoever has gone out of use takes nothing
+            near = dict(before).keys() == dict(fresh).keys() and all(
+                abs(dict(before)[one] - weight) <= NOISE for one, weight in fresh)
+            out[zone] = before if near else fresh
+        return out
 
     def _spared(self, out: dict[str, str]) -> dict[str, str]:
         """What most of a location shows is not its caches' doing: no more than half of them are left
--- a/lilacloft/plan/serve.py
+++ b/lilacloft/plan/serve.py
@@ -29,15 +29,16 @@
     """One planner."""
 
     def __init__(self, name: str, config: Mapping[str, Any], planners: Mapping[str, tuple[str, int]],
-                 folder: str = "", leaves: bool = False) -> None:
-        """`leaves`: whole locations may be left."""
+                 folder: str = "", leave: str = "never") -> None:
+        """`leave`: whole locations may be left, `past` their caches, or `across`."""
         found = settings(config["settings"])
         family = found["family"]
         self.name, self.kinds, self.found = name, (family["parent_kind"], family["source_kind"]), found
         self.cold = found["rules"]["cold"]
         links = {zone: float(rate) for zone, rate in enumerate(family.get("feed_kb_per_s") or []) if rate}
         rules = found["rules"]
-        site = Site(tuple(sorted(planners)), family["pace_kb_per_s"], links, fall=rules["fall"], zones=leaves,
+        site = Site(tuple(sorted(planners)), family["pace_kb_per_s"], links, fall=rules["fall"],
+                    zones=leave != "never", across=leave == "across",
                     sizes=found.get("weight_source", "silent") != "silent",
                     caches=Warming(rules["start_capacity"], rules["cold"], rules["tip_multiple"]),
                     hubs=Warming(family["parent_floor"], family["parent_warms_in"],
--- a/lilacloft/upgrade/process.py
+++ b/lilacloft/upgrade/process.py
@@ -73,7 +73,7 @@
     from lilacloft.plan.agent import Agent
 
     return Agent(owner, str(config.get("name", "gateway")), plan["planners"],
-                 plan.get("zones", {}).get("leave") == "past")
+                 plan.get("zones", {}).get("leave", "never"))
 
 
 def _reader(folder: str) -> Any:
--- a/lilacloft/zones/course.py
+++ b/lilacloft/zones/course.py
@@ -76,6 +76,7 @@
     rate: float = 4.0  # slices a second at which more may go home
     trial: str = ""  # who may try it now
     why: str = ""
+    to: tuple[tuple[int, float], ...] = ()  # who takes what is away, by weight; none: it goes past the caches
 
 
 @dataclass
@@ -270,8 +271,10 @@
 
     # --- what is decided ---
 
-    def told(self, who: Mapping[int, tuple[str, ...]], now: int) -> dict[int, Told]:
-        """What a plan says; `who`: the forwarders that may try a location, in an order that all share."""
+    def told(self, who: Mapping[int, tuple[str, ...]], now: int,
+             to: Mapping[int, tuple[tuple[int, float], ...]] | None = None) -> dict[int, Told]:
+        """What a plan says; `who`: the forwarders that may try a location, in an order that all share; `to`:
+        who takes what is away from one."""
         out = {}
         for zone, course in sorted(self.courses.items()):
             if course.state == IN and not course.fails and (not course.log or now - course.since >= TELLS):
@@ -281,7 +284,8 @@
             # the last step is followed within half of the time until the next, and without a plan one goes on
             # at the pace of warming
             rate = max(SLICES * 10_000 / max(1, self._warming(zone).warm), 2 * course.step * 10_000 / STEP)
-            out[zone] = Told(course.back, course.fails, float(f"{rate:.3g}"), trial, course.why)
+            out[zone] = Told(course.back, course.fails, float(f"{rate:.3g}"), trial, course.why,
+                             (to or {}).get(zone, ()) if course.back < SLICES else ())
         return out
 
     def explain(self, zone: int, now: int) -> list[str]:
--- a/lilacloft/zones/keep.py
+++ b/lilacloft/zones/keep.py
@@ -21,7 +21,7 @@
 
 from lilacloft.zones import course
 from lilacloft.zones.course import BAD, FEWEST, LATE, MANY, PROOF, TURN, WELLS, Tally, Told
-from lilacloft.zones.slices import SLICES, away
+from lilacloft.zones.slices import PAST, SLICES, away, target
 
 GAP = 1_000  # between two trials at least, where the last one was answered
 
@@ -35,6 +35,7 @@
     tries: bool = False  # this forwarder may try it now
     next: int = 0  # when the next trial may go, in the module's time
     tried: int = 0
+    to: tuple[tuple[int, float], ...] = ()
 
     def away(self, place: str, harmless: bool, now: int) -> bool:
         """Is an object not to be asked for there? A trial is: one at a time, of a req whose repeat harms
@@ -46,6 +47,10 @@
             return False
         return True
 
+    def where(self, place: str) -> int:
+        """The location that takes an object which is away; PAST: none, it goes past the caches."""
+        return target(place, self.to) if self.to else PAST
+
     @property
     def proving(self) -> bool:
         """Do only trials go there?"""
@@ -121,12 +126,12 @@
     def _follow(self, own: Own, told: Told | None, now: int) -> None:
         left = own.left
         if told is None:
-            target, left.tries = SLICES, False
+            goal, left.tries = SLICES, False
         else:
-            target, own.rate, own.fails = told.back, max(0.01, told.rate), told.fails
-            left.tries = told.trial == self.name
-        if target <= left.back:
-            left.back, own.credit, own.raised = target, 0.0, now
+            goal, own.rate, own.fails = told.back, max(0.01, told.rate), told.fails
+            left.tries, left.to = told.trial == self.name, told.to
+        if goal <= left.back:
+            left.back, own.credit, own.raised = goal, 0.0, now
             if told is None:
                 own.fails = 0
             return
@@ -134,8 +139,8 @@
         earned = own.rate * max(0, now - own.raised) / 10_000
         own.credit = min(own.credit + earned, max(1.0, own.rate / 2))
         own.raised = now
-        more = min(int(own.credit), target - left.back)
-        self.kept += more < target - left.back
+        more = min(int(own.credit), goal - left.back)
+        self.kept += more < goal - left.back
         left.back += more
         own.credit -= more
 
@@ -143,6 +148,7 @@
         left = own.left
         if not own.alone:
             own.alone, own.well, own.seen, own.raised = True, 0, Tally(), now
+            left.to = ()  # nobody knows any more who bears it
         if left.back >= SLICES:
             own.fails = 0
             return
--- a/lilacloft/zones/pace.py
+++ b/lilacloft/zones/pace.py
@@ -99,3 +99,19 @@
         if now > 1_000_000 * tick:
             return -1
     return now // tick
+
+
+def spread(spare: dict[int, float], demand: float, past: int) -> tuple[tuple[int, float], ...]:
+    """Which locations take what is away from one that is asked for so much: each by what it has to spare, and
+    what they cannot bear goes past the caches (`past`). In whole hundredths of the demand, so that noise
+    changes no weights."""
+    if demand <= 0:
+        return ()
+    takes = {zone: ROOM * free for zone, free in sorted(spare.items()) if free > 0}
+    total = sum(takes.values())
+    if total > demand:
+        takes = {zone: free * demand / total for zone, free in takes.items()}
+    out = [(zone, round(free / demand, 2)) for zone, free in takes.items()]
+    out = [(zone, weight) for zone, weight in out if weight > 0]
+    rest = round(1 - sum(weight for _, weight in out), 2)
+    return (*out, (past, rest)) if out and rest > 0.01 else tuple(out)
--- a/rigs/zones.py
+++ b/rigs/zones.py
@@ -1,10 +1,10 @@
 """A location lost and back, in virtual time: `python -m rigs.zones silent-cold --seeds 8 [--json FILE]`.
 
 The same world, clients and faults by seed under several ways of deciding: `alone` (each gateway by itself),
-`planes` (planners, locations not left: our earlier version), `leaves` (locations are left and returned to),
-`oracle` (reads the world). What is said: worth in all, in the trouble and in the 20 s after it; when nine
-tenths of a lost location's reqs went elsewhere, from the first that was not answered; what was sent into it;
-which locations were left, and how often; rules broken.
+`planes` (planners, locations not left: our earlier version), `leaves` (locations are left, past their caches,
+and returned to), `across` (the same, to others' caches), `oracle` (reads the world). What is said: worth in
+all, in the trouble and in the 20 s after it; when nine tenths of a lost location's reqs went elsewhere, from
+the first that was not answered; what was sent into it; which were left, how often; rules broken.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 from lilacloft.emulator.worlds import READS, SECOND, World
 from lilacloft.zones.course import LEFT
 
-WAYS = ("alone", "planes", "leaves", "oracle")
+WAYS = ("alone", "planes", "leaves", "across", "oracle")
 
 
 @dataclass(frozen=True)
@@ -37,6 +37,7 @@
     begin: float = 4.0
     end: float = 9.0
     span: float = 30.0
+    parent: float = 16.0  # transfers that one parent can send at once
 
 
 def turns(seconds: float, length: float) -> str:
@@ -72,6 +73,7 @@
                     "(at 12s (purge (group 2) 8))"),
     "slow-origin": Script("(at 4s (slow origin 8) (for 5s))"),
     "calm": Script(""),
+    "tight": Script(f"{SILENT} (at 8.9s (cold (zone 1)))", parent=0.4),
 }
 
 
@@ -125,12 +127,13 @@
 def one(script: str, way: str, seed: int, sizes: tuple[int, int, float, int]) -> dict[str, Any]:
     """One run."""
     told = SCRIPTS[script]
-    place = world(*sizes, span=told.span)
+    place = replace(world(*sizes, span=told.span), parent_size=told.parent)
     faults: list[Fault] = parse(told.faults)
     if way in ("alone", "oracle"):
         fleet: Any = WatchedFleet(place, seed, faults, POLICIES["module" if way == "alone" else "oracle"])
     else:
-        fleet = WatchedPlanes(place, seed, faults, troubles=told.troubles, leaves=way == "leaves")
+        fleet = WatchedPlanes(place, seed, faults, troubles=told.troubles,
+                              leave={"planes": "never", "leaves": "past"}.get(way, way))
     fleet.watch()
     result = fleet.run()
 
@@ -147,7 +150,7 @@
     lost = [fault for fault in faults if fault.whom == "zone" and fault.kind in ("silent", "mute", "deaf")]
     if lost:
         out["elsewhere"], out["into"] = gone(fleet, lost[0])
-    if way == "leaves":
+    if way in ("leaves", "across"):
         for plane in fleet.planners:
             zones = plane.core.zones
             for zone, course in (zones.courses if zones else {}).items():
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -344,8 +344,8 @@
 
 
 def test_a_hot_object_of_many_parts_weighs_on_all_parents():
-    """Half of all reqs ask for the parts of one object that is purged again and again: in each of ten locations
-    all parts are filled anew, and no parent alone can send them (incident one-parent-for-a-hot-object.md).
+    """Half of all reqs ask for the parts of one object that is purged again and again: in each of ten places
+    all parts are filled anew, and no parent alone can send them (one-parent-for-a-hot-object.md).
     Served is counted in worth, not as a part: who is served asks for the next part."""
     faults = parse("(at 1s (hot (object o7) 0.5) (for 6s)) " + " ".join(
         f"(at {1 + 0.9 * nth:.1f}s (purge (object o7) 1))" for nth in range(6)))
--- a/tests/test_zones_world.py
+++ b/tests/test_zones_world.py
@@ -64,7 +64,7 @@
     place = world(*SIZES, span=34.0)
     faults = parse(SCRIPTS["silent-cold"].faults)
     dead = tuple(Trouble("kill", number, 114_000, 1_000_000) for number in range(3))
-    fleet = WatchedPlanes(place, 4, faults, troubles=dead, leaves=True)
+    fleet = WatchedPlanes(place, 4, faults, troubles=dead, leave="past")
     fleet.watch()
     path = []
 
@@ -86,7 +86,7 @@
     faults = parse(SCRIPTS["silent-cold"].faults)
     cuts = (Trouble("split", 0, 60_000, 30_000), Trouble("cut", 0, 60_000, 30_000),
             Trouble("kill", 1, 100_000, 5_000))
-    fleet = WatchedPlanes(world(*SIZES, span=30.0), 6, faults, troubles=cuts, leaves=True)
+    fleet = WatchedPlanes(world(*SIZES, span=30.0), 6, faults, troubles=cuts, leave="past")
     fleet.watch()
     path = []
 
@@ -106,7 +106,7 @@
 def test_a_gateway_whose_own_way_is_bad_moves_nobody():
     faults = parse("(at 3s (mute (gateway 3)) (for 8s)) (at 3s (deaf (gateway 7)) (for 8s)) "
                    "(at 4s (stop (gateway 1)) (for 2s))")
-    fleet = WatchedPlanes(world(*SIZES, span=14.0), 2, faults, leaves=True)
+    fleet = WatchedPlanes(world(*SIZES, span=14.0), 2, faults, leave="past")
     fleet.watch()
     assert not fleet.run().breaches
     assert all(not course.log for plane in fleet.planners for course in plane.core.zones.courses.values())
@@ -115,7 +115,7 @@
 def test_the_same_seed_is_the_same_run():
     marks = []
     for _ in range(2):
-        fleet = WatchedPlanes(world(*SIZES, span=12.0), 9, parse(SCRIPTS["silent-cold"].faults), leaves=True)
+        fleet = WatchedPlanes(world(*SIZES, span=12.0), 9, parse(SCRIPTS["silent-cold"].faults), leave="past")
         fleet.watch()
         marks.append(fleet.run().mark)
     assert marks[0] == marks[1]
