--- a/lilacloft/emulator/faults.py
+++ b/lilacloft/emulator/faults.py
@@ -51,6 +51,8 @@
     "drain": Kind(SITES),  # told to leave, and back as cold
     "lag": Kind(("log", "gateway"), hard=(0.5, 4.0)),  # seconds by which its events come later
     "break": Kind(("log", "gateway")),  # nothing comes from the change log
+    "unlogged": Kind(("zone",)),  # the same for a location's gateways, which hear and are heard otherwise
+    "lone": Kind(("zone", "gateway")),  # cut off from planners only
     "clock": Kind(("gateway",), hard=(-2.0, 2.0)),  # seconds by which it differs
     "restart": Kind(("gateway",), lasts=False),
     "stop": Kind(("gateway",)),  # does nothing at all for a while, then goes on
--- a/lilacloft/emulator/fleet.py
+++ b/lilacloft/emulator/fleet.py
@@ -476,7 +476,9 @@
                     box.status = LEAVING
                     self._state(box)
                     self.events.at(end, FAULT, self._back, box)
-        elif kind in ("lag", "break"):
+        elif kind in ("lag", "break", "unlogged"):
+            if kind == "unlogged":
+                kind, whom = "break", [one for one in self.gateways if one.zone == int(fault.which)]
             for gateway in whom or self.gateways:
                 self._log_way(gateway, kind, int(fault.hard * SECOND) or 1)
                 self.events.at(end, FAULT, self._log_way, gateway, kind, 0)
--- a/lilacloft/emulator/planes.py
+++ b/lilacloft/emulator/planes.py
@@ -186,6 +186,17 @@
     def tells(self, box: Box, zone: int) -> bool:
         return self.leave == "across" or super().tells(box, zone)
 
+    def strike(self, fault: Fault) -> None:
+        if fault.kind != "lone":
+            return super().strike(fault)
+        names = {one.name for one in self.gateways if fault.which == str(
+            one.zone if fault.whom == "zone" else one.number)}
+        for plane in self.planners:
+            mine = names - plane.cut
+            plane.cut |= mine
+            self.events.at(self.events.now + fault.span, FAULT, self._heal, plane, mine)
+        return None
+
     # --- ways ---
 
     def _way(self) -> int:
--- a/lilacloft/plan/planner.py
+++ b/lilacloft/plan/planner.py
@@ -348,7 +348,8 @@
         past = sum(told.past for told in mine)
         if place.parents:  # what its parents are asked for is the fills; they fill from the origin
             return pace.Bears(fills, self.site.pace, sizes, self.site.origin)
-        parents = sum(self.site.parents for be in self.bes.values() if be.kind == "parent" and be.ready)
+        parents = sum(be.size * self.site.pace if self.site.sizes else self.site.parents
+                      for be in self.bes.values() if be.kind == "parent" and be.ready)
         others = sum(sum(known.summary.fills.values()) for known in self.known.values()
                      if known.summary.zone != zone)
         asked = sum(told.asked for told in mine)
--- a/lilacloft/zones/pace.py
+++ b/lilacloft/zones/pace.py
@@ -67,6 +67,8 @@
         return SLICES
     can = sum(size * (warming.part() * warming.power(age) if age < warming.warm else FULL / ROOM)
               for size, age in bears.sizes) * bears.pace
+    if math.isinf(can):  # nobody has told what its bes can do
+        return SLICES
     return max(1, min(SLICES, math.floor(SLICES * can / bears.demand + 1e-9)))
 
 
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -32,9 +32,10 @@
 
 from lilacloft.emulator import faults as language
 from lilacloft.emulator.chance import Chance
+from lilacloft.emulator.clients import Habits
 from lilacloft.emulator.faults import Fault
-from lilacloft.emulator.planes import Trouble
-from lilacloft.emulator.worlds import SECOND
+from lilacloft.emulator.planes import Planes, Trouble
+from lilacloft.emulator.worlds import SECOND, World
 from rigs.account import Account
 from rigs.checker import Breach, Limits, check
 from rigs.load import Load
@@ -46,7 +47,8 @@
 KINDS = ("small", "large", "parent", "origin")
 ORIGIN = "s-00000fff"
 UP_AGAIN = 0.3  # seconds from a box's end to its new start
-DRAWN = {"silent": 3, "deaf": 1, "mute": 1, "apart": 1, "slow": 1, "lossy": 1, "cold": 2, "drain": 1,
+DRAWN = {"lone": 1, "unlogged": 1,
+         "silent": 3, "deaf": 1, "mute": 1, "apart": 1, "slow": 1, "lossy": 1, "cold": 2, "drain": 1,
          "restart": 1, "stop": 1, "break": 1, "purge": 2}
 
 
@@ -355,6 +357,7 @@
         """What a fault is here: what to do, and when."""
         at, span, end = fault.at / SECOND, fault.span / SECOND, fault.end / SECOND
         names = [be.name for be in self.struck(fault)]
+        number = int(fault.which) if fault.which.isdigit() else 0
         to = [(gateway.name, name) for gateway in self.gateways for name in names]
         gateways = self.gateways[int(fault.which): int(fault.which) + 1] if fault.whom == "gateway" else []
         of = [(who, whom) for who, whom in self.links if who in {one.name for one in gateways}
@@ -393,8 +396,13 @@
         if fault.kind == "stop":
             return [(at, lambda: self._signal(gateways, signal.SIGSTOP)),
                     (end, lambda: self._signal(gateways, signal.SIGCONT))]
-        if fault.kind == "break":
-            pairs = [(one.name, "log") for one in gateways or self.gateways]
+        mine = [one for one in self.gateways if fault.whom == "zone" and self.zone_of[one.name] == number]
+        if fault.kind == "lone":
+            pairs = [(one.name, planner) for one in gateways or mine for planner in self.planner_names]
+            return [(at, lambda: self.cut(pairs, stall=True)),
+                    (end, lambda: self.cut(pairs, "both", True, stall=False))]
+        if fault.kind in ("break", "unlogged"):
+            pairs = [(one.name, "log") for one in gateways or mine or self.gateways]
             return [(at, lambda: self.cut(pairs, stall=True)), (end, lambda: self.cut(pairs, stall=False))]
         return []
 
@@ -504,6 +512,20 @@
             "tail": [text[-1500:] for text in logs if "Traceback" in text][:3]}
 
 
+def beside(script: str, faults: list[Fault], gateways: int, planners: int, seconds: float, rate: float,
+           seed: int, caches: int, leave: str) -> dict[str, Any]:
+    """The same script in virtual time, in a world of the same sizes."""
+    habits = Habits(rate=rate, objects=300, zipf=0.9, parts=1, size=400.0, spread=0.05,
+                    mix=(0.8, 0.0, 0.1, 0.1), retries=0)
+    place = World("fleet", zones=4, caches=caches, gateways=max(1, gateways // 4), parents=4, hubs=2, cells=1,
+                  span=int(seconds * SECOND), habits=habits, service=300.0)
+    told = SCRIPTS.get(script)
+    result = Planes(place, seed, faults, planners=planners, troubles=told.troubles if told else (),
+                    leave=leave).run()
+    answered = result.done + result.denied + result.aborted
+    return {"done": result.done / max(1, answered), "asked": result.asked, "breaches": len(result.breaches)}
+
+
 def main(words: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="python -m rigs.fleet", description=__doc__)
     parser.add_argument("script", choices=[*SCRIPTS, "drawn"])
@@ -515,10 +537,15 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--drawn", type=int, default=6, help="faults, where the script is drawn")
     parser.add_argument("--kept", action="store_true", help="no location is left: our earlier version")
+    parser.add_argument("--beside", action="store_true", help="the same script in virtual time as well")
     parser.add_argument("--json", metavar="FILE")
     given = parser.parse_args(words)
     report = run(given.script, given.gateways, given.planners, given.seconds, given.rate, given.seed,
                  given.drawn, not given.kept, given.caches)
+    if given.beside:
+        faults = [fault for text in report["faults"] for fault in language.parse(text)]
+        report["beside"] = beside(given.script, faults, given.gateways, given.planners, given.seconds,
+                                  given.rate, given.seed, given.caches, "never" if given.kept else "past")
     text = json.dumps(report, indent=1)
     if given.json:
         Path(given.json).write_text(text + "\n")
--- a/rigs/zones.py
+++ b/rigs/zones.py
@@ -18,9 +18,11 @@
 from pathlib import Path
 from typing import Any
 
+from lilacloft.emulator import faults as language
+from lilacloft.emulator.chance import Chance
 from lilacloft.emulator.faults import Fault, parse
 from lilacloft.emulator.fleet import START, Fleet
-from lilacloft.emulator.planes import Planes, Trouble
+from lilacloft.emulator.planes import Planes, Trouble, troubles
 from lilacloft.emulator.policies import POLICIES
 from lilacloft.emulator.worlds import READS, SECOND, World
 from lilacloft.zones.course import LEFT
@@ -63,6 +65,8 @@
     "second": Script(f"{SILENT} (at 8.9s (cold (zone 1))) (at 13s (silent (zone 2)) (for 4s)) "
                      "(at 16.9s (cold (zone 2)))", end=17.0, span=36.0),
     "turns": Script(turns(60.0, 3.0), end=60.0, span=80.0),
+    "turns-long": Script(turns(600.0, 3.0), end=600.0, span=620.0),
+    "half": Script(f"{SILENT} (at 8.9s (cold (version 1)))"),  # every second box anew at the return
     "issuer": Script(f"{SILENT} (at 8.9s (cold (zone 1)))", (Trouble("kill", 0, 45_000, 120_000),)),
     "issuer-back": Script(f"{SILENT} (at 8.9s (cold (zone 1)))", (Trouble("kill", 0, 115_000, 60_000),)),
     "nobody": Script(f"{SILENT} (at 8.9s (cold (zone 1)))", tuple(
@@ -72,6 +76,8 @@
     "purge": Script(f"{SILENT} (at 8.9s (cold (zone 1))) (at 6s (purge (group 1) 4)) "
                     "(at 12s (purge (group 2) 8))"),
     "slow-origin": Script("(at 4s (slow origin 8) (for 5s))"),
+    "lone": Script(f"{SILENT} (at 3s (lone (zone 1)) (for 8s))"),
+    "unlogged": Script(f"{SILENT} (at 8.9s (cold (zone 1))) (at 3s (unlogged (zone 1)) (for 8s))"),
     "calm": Script(""),
     "tight": Script(f"{SILENT} (at 8.9s (cold (zone 1)))", parent=0.4),
 }
@@ -94,6 +100,7 @@
         self.earned_at: dict[int, float] = {}
         self.sent_to: dict[tuple[int, int], int] = {}  # by tenth of a second: dispatches into a location
         self.asked_in: dict[tuple[int, int], int] = {}  # and reqs of its gateways
+        self.took_in: dict[int, list[int]] = {}  # what was done, by location: how long it took
 
     def _comes_in(self) -> None:
         before = self.could
@@ -106,6 +113,8 @@
         super().final(gateway, number, ask, word, after, dispatch)
         at = (ask.first - START) // SECOND
         self.earned_at[at] = self.earned_at.get(at, 0.0) + self.earned - before
+        if word == "done":
+            self.took_in.setdefault(gateway.zone, []).append(self.events.now - ask.first)
 
     def sending(self, dispatch: Any, number: int, source: Any) -> None:
         at = (self.events.now - START) // 1000, dispatch.box.zone
@@ -147,6 +156,9 @@
            "fell": result.fell, "denied": result.denied,
            "breaches": [str(one) for one in result.breaches[:5]], "broken": len(result.breaches),
            "elsewhere": None, "into": 0, "left": [], "changes": 0}
+    struck = {int(fault.which) for fault in faults if fault.whom == "zone"}
+    others = sorted(took for zone, all_ in fleet.took_in.items() if zone not in struck for took in all_)
+    out["others_p99"] = others[len(others) * 99 // 100] / 10 if others else 0.0
     lost = [fault for fault in faults if fault.whom == "zone" and fault.kind in ("silent", "mute", "deaf")]
     if lost:
         out["elsewhere"], out["into"] = gone(fleet, lost[0])
@@ -176,6 +188,30 @@
     return None, into
 
 
+HURT = {"lossy": 2, "deaf": 2, "mute": 2, "lag": 1, "break": 1, "clock": 1, "restart": 2, "stop": 2}
+
+
+def hurt(seed: int) -> list[str]:
+    """A small world in which only observers are hurt: gateways by drawn faults, planners by drawn troubles.
+    Returns what was decided of any location, and any rule that was broken."""
+    place = replace(world(24, 12, 110.0, 4, span=8.0), warm=True)
+    stream = Chance(seed).stream("hurt")
+    drawn = language.draw(stream, {"gateway": 12}, 6 * SECOND, 4, dict(HURT))
+    fleet = Planes(place, seed, drawn, troubles=troubles(stream, 3, 6 * SECOND, 2), leave="past")
+    result = fleet.run()
+    said = [f"{plane.name} {zone}: {text}" for plane in fleet.planners if plane.core.zones
+            for zone, course in plane.core.zones.courses.items() for _, text in course.log]
+    return [*said, *(str(one) for one in result.breaches)]
+
+
+def observers(seeds: int, processes: int) -> dict[str, Any]:
+    """So many of them."""
+    with ProcessPoolExecutor(processes) as pool:
+        told = list(pool.map(hurt, range(1, seeds + 1), chunksize=8))
+    wrong = {seed: lines for seed, lines in enumerate(told, 1) if lines}
+    return {"seeds": seeds, "wrong": len(wrong), "first": dict(list(wrong.items())[:5])}
+
+
 def mean(rows: list[dict[str, Any]], what: str) -> float:
     values = [row[what] for row in rows if row[what] is not None]
     return statistics.fmean(values) if values else float("nan")
@@ -192,8 +228,8 @@
         mine = [row for row in rows if row["way"] == way]
         away = sorted(row["elsewhere"] for row in mine if row["elsewhere"] is not None)
         summary[way] = {
-            **{what: round(mean(mine, what), 4) for what in ("worth", "trouble", "after", "p99", "into",
-                                                              "fell", "denied", "changes")},
+            **{what: round(mean(mine, what), 4) for what in (
+                "worth", "trouble", "after", "p99", "others_p99", "into", "fell", "denied", "changes")},
             "elsewhere": [away[len(away) // 2], away[-1]] if away else None,
             "never": sum(row["elsewhere"] is None for row in mine),
             "broken": sum(row["broken"] for row in mine)}
@@ -202,7 +238,7 @@
 
 def main(words: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="python -m rigs.zones", description=__doc__)
-    parser.add_argument("scripts", nargs="+", choices=[*SCRIPTS, "all"])
+    parser.add_argument("scripts", nargs="+", choices=[*SCRIPTS, "all", "observers"])
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--caches", type=int, default=200)
     parser.add_argument("--gateways", type=int, default=50)
@@ -213,6 +249,10 @@
     parser.add_argument("--json", metavar="FILE")
     given = parser.parse_args(words)
     sizes = (given.caches, given.gateways, given.rate, given.zones)
+    if "observers" in given.scripts:
+        told = observers(given.seeds, given.processes)
+        print(json.dumps(told, indent=1))
+        return 1 if told["wrong"] else 0
     out = []
     for script in SCRIPTS if "all" in given.scripts else given.scripts:
         report = run(script, given.seeds, sizes, tuple(given.ways.split(",")), given.processes)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -117,10 +117,12 @@
 def test_each_fault_of_the_scripts_has_something_done_here(tmp_path):
     fleet = Fleet(tmp_path, 1, 4, 1, caches=1)
     try:
-        for text in ("(silent (zone 1))", "(silent origin)", "(mute (cache 0))", "(deaf (gateway 1))",
-                     "(apart (zone 2))", "(slow origin 3)", "(lossy (hub 1) 0.2)", "(break log)",
-                     "(stop (gateway 0))", "(down (hub 0))", "(drain (zone 0))"):
-            assert len(fleet.actions(parse(f"(at 1s {text} (for 2s))")[0])) == 2, text
+        for text in ("silent (zone 1)", "silent origin", "mute (cache 0)", "deaf (gateway 1)",
+                     "apart (zone 2)", "slow origin 3", "lossy (hub 1) 0.2", "break log", "lone (zone 2)",
+                     "lone (gateway 1)", "unlogged (zone 3)", "stop (gateway 0)", "down (hub 0)",
+                     "drain (zone 0)"):
+            fault = parse(f"(at 1s ({text}) (for 2s))")[0]
+            assert len(fleet.actions(fault)) == 2, text
         assert len(fleet.actions(parse("(at 1s (cold (zone 1)))")[0])) == 2
         assert len(fleet.actions(parse("(at 1s (restart (gateway 1)))")[0])) == 1
         assert len(fleet.actions(parse("(at 1s (purge (object o3) 2))")[0])) == 2
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -189,6 +189,7 @@
     assert most(Bears(100_000.0, 4000.0, ()), warming) == 0
     assert most(Bears(0.0, 4000.0, ((8.0, 0),)), warming) == SLICES
     assert most(Bears(1e9, 4000.0, ((8.0, 0),)), warming) == 1  # its trials are to go somewhere
+    assert most(Bears(10.0, 4000.0, ((float("inf"), 0),)), warming) == SLICES  # nobody has told their sizes
     half = Bears(100_000.0, 4000.0, ((8.0, 0),) * 3 + ((8.0, 1 << 40),) * 3)
     assert most(cold, warming) < most(half, warming)
 
--- a/tests/test_zones_world.py
+++ b/tests/test_zones_world.py
@@ -11,7 +11,7 @@
 
 SIZES = (24, 12, 110.0, 4)  # caches, gateways, reqs a second, locations
 
-LEFT_AND_BACK = ("silent-cold", "silent", "mute", "deaf", "issuer-back", "purge", "drain")
+LEFT_AND_BACK = ("silent-cold", "silent", "mute", "deaf", "issuer-back", "purge", "drain", "unlogged")
 
 
 def said(row, zone, planner="p0"):
@@ -34,6 +34,11 @@
         assert now["trouble"] > earlier["trouble"] + 0.02 and now["into"] < 0.5 * earlier["into"]
 
 
+def test_a_location_whose_gateways_no_planner_hears_is_left_by_none_and_they_go_on_alone():
+    row = one("lone", "leaves", 3, SIZES)
+    assert row["broken"] == 0 and row["left"] == [] and row["worth"] > 0.93
+
+
 @pytest.mark.parametrize("script", ["calm", "slow-origin", "apart"])
 def test_what_all_share_or_what_has_no_way_past_leaves_nobody(script):
     row = one(script, "leaves", 5, SIZES)
