Who sees all elsewhere fail sees its own path: observers that are hurt leave no location

Ruled out: stale failures (they were fresh), planners (the first named it). At fault: evidence._one counted forwarders to whom nothing else answered either. Change: they are set aside, the origin's answers are among the looks where locations may be left, and a quarter of all that are heard must agree.

--- a/lilacloft/plan/watch.py
+++ b/lilacloft/plan/watch.py
@@ -78,7 +78,8 @@
         self.past = 0.0
         self.fills.clear()
         for be in router.known:
-            if be.kind != router.origin_kind:
+            # what the origin answers tells a bad path of one's own from a location that fails
+            if be.kind != router.origin_kind or follower.keeper:
                 waits, unfilled = self._waits(be, time)
                 follower.state(be.name, len(be.reqs), be.suspect and be.name not in router.left_out,
                                be.way.limit if be.way else 0.0, waits,
--- a/lilacloft/zones/evidence.py
+++ b/lilacloft/zones/evidence.py
@@ -10,6 +10,10 @@
   two), and at least half of those ready, or `ENOUGH`: that so many fail together by chance is rarer than
   anything a location shows.
 
+Whoever sees what is elsewhere fail as well, and nothing elsewhere that answers, sees its own path: it is
+heard, and not counted. Two of three with bad paths would else name a location (found on 5 of 1,000 drawn worlds).
+A hub is looked at by all, so that a quarter of all that are heard must see it fail.
+
 What more than `MOST` of all locations of a kind show is not theirs but what they share, the origin's or
 everybody's: nobody leaves then, as there is nowhere better to go. A planner that hears fewer than half of a
 location's forwarders names nothing there: it may be its own sight that fails. No I/O; times in tenths of a
@@ -26,6 +30,7 @@
 LOOKED = 0.5  # part of a location's ready bes that must have been looked at,
 ENOUGH = 8  # or so many, where with thin traffic half of them would take seconds
 VOTES = 2  # forwarders that must agree, where there are so many
+OF_ALL = 0.25  # and this part of all that are heard
 HEARS = 0.5  # part of a location's forwarders that the decider must hear
 
 CACHES, WAY, HUB, SILENT, SHARED, FEW, WELL = (
@@ -107,12 +112,14 @@
 def _one(view: View, place: Place) -> Finding:
     who = place.forwarders if not place.parents else tuple(sorted(
         name for other in view.places.values() for name in other.forwarders))
-    heard = [name for name in who if name in view.heard and name not in view.astray]
+    heard = [name for name in who if name in view.heard and name not in view.astray
+             and not _own_path(view, place, name)]
     if who and len([name for name in who if name in view.heard]) < HEARS * len(who):
         return Finding(SILENT)
     by, against, each = _votes(view, place.bes, heard, place.parents)
     failing = [be for be, (bad, well) in each.items() if bad > well]
-    named = (len(by) >= min(VOTES, len(heard)) and by and len(by) >= FAILS * (len(by) + len(against))
+    agree = max(min(VOTES, len(who)), OF_ALL * len(heard))
+    named = (len(by) >= agree and by and len(by) >= FAILS * (len(by) + len(against))
              and len(each) >= max(min(2, len(place.bes)), min(ENOUGH, LOOKED * len(place.bes)))
              and len(failing) >= FAILS * len(each))
     if named:
@@ -125,6 +132,13 @@
     return Finding(WELL if each else FEW, False, by, against, len(failing), len(each))
 
 
+def _own_path(view: View, place: Place, name: str) -> bool:
+    """Does a forwarder see nothing well that is not of this location, and something fail?"""
+    outside = [fails for be, look in view.looks.get(name, {}).items()
+               if be not in place.bes and (fails := look.fails()) is not None]
+    return bool(outside) and all(outside)
+
+
 def _votes(view: View, bes: Iterable[str], who: Iterable[str], sources: bool
            ) -> tuple[tuple[str, ...], tuple[str, ...], dict[str, tuple[int, int]]]:
     """Who sees most of what it has looked at fail, who does not; and of each be, by how many it fails."""
--- a/rigs/zones.py
+++ b/rigs/zones.py
@@ -109,12 +109,12 @@
         self.could_at[at] = self.could_at.get(at, 0.0) + self.could - before
 
     def final(self, gateway: Any, number: int, ask: Any, word: str, after: int, dispatch: Any) -> None:
-        before = self.earned
+        before, asked = self.earned, self.asked_at.get(number, ask.first)  # this try, not the first
         super().final(gateway, number, ask, word, after, dispatch)
         at = (ask.first - START) // SECOND
         self.earned_at[at] = self.earned_at.get(at, 0.0) + self.earned - before
         if word == "done":
-            self.took_in.setdefault(gateway.zone, []).append(self.events.now - ask.first)
+            self.took_in.setdefault(gateway.zone, []).append(self.events.now - asked)
 
     def sending(self, dispatch: Any, number: int, source: Any) -> None:
         at = (self.events.now - START) // 1000, dispatch.box.zone
