--- a/lilacloft/zones/evidence.py
+++ b/lilacloft/zones/evidence.py
@@ -11,8 +11,8 @@
   anything a location shows.
 
 Whoever sees what is elsewhere fail as well, and nothing elsewhere that answers, sees its own path: it is
-heard, and not counted. Two of three with bad paths would else name a location (found on 5 of 1,000 drawn worlds).
-A hub is looked at by all, so that a quarter of all that are heard must see it fail.
+heard, and not counted. Two of three with bad paths would else name a location (found on 5 of 1,000 drawn
+worlds). A hub is looked at by all, so that a quarter of all that are heard must see it fail.
 
 What more than `MOST` of all locations of a kind show is not theirs but what they share, the origin's or
 everybody's: nobody leaves then, as there is nowhere better to go. A planner that hears fewer than half of a
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -109,3 +109,12 @@
     assert "No such command" in capsys.readouterr().err
     assert main(["--help"]) == 0
     assert "upgrade" in capsys.readouterr().out
+
+
+def test_how_locations_are_left_is_one_of_three_words(tmp_path):
+    file = tmp_path / "a.sexp"
+    file.write_text('(lilacloft\n  (plan (zones (leave across))))')
+    assert load(str(file))["plan"] == {"zones": {"leave": "across"}}
+    file.write_text('(lilacloft\n  (plan (zones (leave sideways))))')
+    with pytest.raises(SettingsError, match=r"a\.sexp:2:.*found sideways, expected past or across or never"):
+        load(str(file))
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lilacloft.zones import course, keep
+from lilacloft.zones import course, keep, pace, slices
 from lilacloft.zones.course import BACK, IN, LEAST, LEFT, OUT, PROOF, STEP, WELLS, Decider, Tally, Told
 from lilacloft.zones.evidence import (
     CACHES,
@@ -524,3 +524,16 @@
     left = keep.Left(3, 20)
     homes = [place for place in (f"o{number} 0" for number in range(1000)) if not left.away(place, True, 0)]
     assert 230 < len(homes) < 400 and all(ranks(3)[slice_of(place)] < 20 for place in homes)
+
+
+def test_what_is_away_is_spread_by_what_others_have_to_spare_and_moves_as_little_as_it_must():
+    even = pace.spread({0: 50.0, 2: 50.0}, 40.0, slices.PAST)
+    assert even == ((0, 0.5), (2, 0.5))
+    short = pace.spread({0: 10.0, 2: 0.0}, 40.0, slices.PAST)
+    assert short == ((0, 0.2), (slices.PAST, 0.8)) and pace.spread({0: 0.0}, 40.0, slices.PAST) == ()
+    places = [f"o{number} 0" for number in range(4000)]
+    before = {place: slices.target(place, ((0, 0.5), (2, 0.5))) for place in places}
+    after = {place: slices.target(place, ((0, 0.5), (2, 0.5), (3, 0.25))) for place in places}
+    assert 1800 < sum(zone == 0 for zone in before.values()) < 2200
+    moved = [place for place in places if before[place] != after[place]]
+    assert all(after[place] == 3 for place in moved) and 700 < len(moved) < 900
--- a/tests/test_zones_world.py
+++ b/tests/test_zones_world.py
@@ -124,3 +124,33 @@
         fleet.watch()
         marks.append(fleet.run().mark)
     assert marks[0] == marks[1]
+
+
+def test_across_each_object_has_one_cache_of_one_location_at_all_gateways():
+    """While location 1 is left and before it returns, its gateways ask other locations' caches: each object's
+    at one place, the one that this location's own gateways ask."""
+    fleet = WatchedPlanes(world(*SIZES, span=10.0), 3, parse(SCRIPTS["silent-cold"].faults), leave="across")
+    fleet.watch()
+    asked = {}
+    sending = fleet.sending
+
+    def note(dispatch, number, source):
+        at = (fleet.events.now - START) / SECOND
+        if 6.5 <= at < 9.0 and dispatch.box.kind == 0 and dispatch.seq == 0 and not dispatch.write:
+            told = asked.setdefault(dispatch.place, {})
+            told.setdefault(dispatch.gateway.zone, set()).add(dispatch.box.name)
+        sending(dispatch, number, source)
+
+    fleet.sending = note
+    assert not fleet.run().breaches
+    mine = {place: told[1] for place, told in asked.items() if 1 in told}
+    elsewhere = {place: boxes for place, boxes in mine.items()
+                 if not any(box.startswith("c1") for box in boxes)}
+    assert len(elsewhere) > 30 and len(elsewhere) > 0.8 * len(mine)  # the rest are trials
+    assert sum(len(boxes) > 1 for boxes in elsewhere.values()) <= 0.05 * len(elsewhere)
+    zones = {next(iter(boxes))[1] for boxes in elsewhere.values()}
+    assert zones == {"0", "2", "3"}
+    there = {place: int(next(iter(boxes))[1]) for place, boxes in elsewhere.items() if len(boxes) == 1}
+    both = [place for place, zone in there.items() if zone in asked[place]]
+    same = [place for place in both if elsewhere[place] <= asked[place][there[place]]]
+    assert both and len(same) >= 0.9 * len(both)
