--- a/rigs/zones.py
+++ b/rigs/zones.py
@@ -79,6 +79,7 @@
     "lone": Script(f"{SILENT} (at 3s (lone (zone 1)) (for 8s))"),
     "unlogged": Script(f"{SILENT} (at 8.9s (cold (zone 1))) (at 3s (unlogged (zone 1)) (for 8s))"),
     "calm": Script(""),
+    "drawn": Script("", begin=0.0, end=10.0, span=16.0),  # four faults of any kind, from the seed
     "tight": Script(f"{SILENT} (at 8.9s (cold (zone 1)))", parent=0.4),
 }
 
@@ -138,6 +139,8 @@
     told = SCRIPTS[script]
     place = replace(world(*sizes, span=told.span), parent_size=told.parent)
     faults: list[Fault] = parse(told.faults)
+    if script == "drawn":
+        faults = language.draw(Chance(seed).stream("faults"), place.sizes(), 8 * SECOND, 4)
     if way in ("alone", "oracle"):
         fleet: Any = WatchedFleet(place, seed, faults, POLICIES["module" if way == "alone" else "oracle"])
     else:
