The origin's part of a gateway is what it was before locations could be left

Seen in reading the change again: Router._part divided by all gateways whatever is not of the gateway's location, which meant others' caches but struck the origin too, also on the platform: its limit began lower than before. Ruled out elsewhere: _room ends for the origin before the same condition. Change: _elsewhere says what a cache of another location is, for both.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -423,7 +423,7 @@
         floor, warm, multiple = self.cold_parent if be.kind == self.parent_kind else self.cold_cache
         if be.kind == self.origin_kind or not be.started or now - be.started >= warm:
             return True
-        if self.yielded or (be.zone != self.zone and be.kind != self.parent_kind):
+        if self.yielded or self._elsewhere(be):
             return False  # its own location's gateways have all of its budget
         turn = max(work, *(vhost.work for vhost in self.vhosts))
         pace = min(MARGIN * multiple / 2, BRISK) * self._part(be) * self.shares.get(be.name, 1.0) / turn
@@ -441,7 +441,11 @@
         # twice what its link brings in, else most reqs were fills
         feed, by = (sum(self.feed) / 1.3, self.parents) if parent else (2 * self.feed[self.zone], self.caches)
         capacity = be.size if self.sizes_told else feed / self.pace / max(1, len(by))
-        return (capacity or 1.0) / (self.gateways if parent or be.zone != self.zone else self.zone_gateways)
+        return (capacity or 1.0) / (self.gateways if parent or self._elsewhere(be) else self.zone_gateways)
+
+    def _elsewhere(self, be: Be) -> bool:
+        """Is it a cache of another location?"""
+        return be.zone != self.zone and be.kind not in (self.parent_kind, self.origin_kind)
 
     def _release(self, req: Req, be: Be) -> Be:
         """Take a dispatch that is over out of the accounts; returns its source."""
