rigs.fleet judges cold boxes by gateways that were told; boxes have one piece of code each

Change: rule 4 is judged on the entries without what gateways sent that could not have been told, rule 1 sets aside only what was lost, late or never; reqs are found by name, not by looking through all. A test shows that it can fail. rigs.boxes calls Box._taken, Box.drop and Box._answer in place of copies, Site and Fleet share Scene.chance and Scene.limits; unused fields are gone.

--- a/rigs/boxes.py
+++ b/rigs/boxes.py
@@ -11,7 +11,6 @@
 import contextlib
 import json
 import os
-import random
 import socket
 import sys
 import threading
@@ -21,7 +20,7 @@
 from typing import Any
 
 from lilacloft.net.resp import Buffer, encode, listed
-from rigs.scene import EFFECTS, FILL, HIT, WRITE, Box, Timers, body, whole
+from rigs.scene import EFFECTS, FILL, HIT, WRITE, Box, Scene, Timers, body, whole
 
 PATIENCE = 2.0  # for a source
 
@@ -54,23 +53,13 @@
             box = self.boxes[name] = FarBox(self, int(name[2:], 16), told["kind"], told["port"])
             box.started = told["started"]
 
-    def chance(self, purpose: str) -> random.Random:
-        return random.Random(f"{self.seed} {purpose}")
-
+    chance = Scene.chance
 
 class FarBox(Box):
     """A box whose sources are elsewhere."""
 
     def _do(self, sock: socket.socket, number: int, ref: bytes, told: dict[str, str]) -> None:
-        fill = "fill" in told  # another box asks: no dispatch of a gateway's
-        key, part = told["thing"], int(told["nth"])
-        age = int(told["agelim"]) / 1000 if int(told.get("agelim", 0)) else 8.0
-        with self.lock:
-            self.open[number, ref] = True
-            if not fill:
-                self.scene.account.write(
-                    self.name, "do", conn=number, ref=ref.decode(), vhost=told["profile"], key=key, part=part,
-                    next=told.get("next"), age=age, replay=told.get("replay"))
+        key, part, age = self._taken(number, ref, told, of_gateway="fill" not in told)
         if self.silent:
             return
         wait = self.slow + self.chance.expovariate(250)
@@ -148,15 +137,6 @@
                     return items[3] if items[1] == b"data" else None
         return None
 
-    def _answer(self, sock: socket.socket, number: int, ref: bytes, word: bytes, told: bytes,
-                data: bytes) -> None:
-        with self.lock:
-            if self.silent or self.open.pop((number, ref), None) is None:
-                return
-            self.scene.account.write(self.name, "end", conn=number, ref=ref.decode(), word=word.decode(),
-                                     note=told.partition(b"=")[2].decode())
-            sock.sendall(encode(ref, word, told, data))
-
 
 def main() -> int:
     site = Site(json.loads(Path(sys.argv[1]).read_text()))
@@ -167,10 +147,7 @@
             for what, value in told.get("set", {}).items():
                 setattr(site.boxes[name], what, value)
             if told.get("drop"):  # a purge's copies are gone everywhere
-                key, at = told["drop"]
-                for place, born in list(site.boxes[name].copies.items()):
-                    if born < at and (not key or place[0] == key):
-                        site.boxes[name].copies.pop(place, None)
+                site.boxes[name].drop(*told["drop"])
     os._exit(0)
 
 
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -38,7 +38,7 @@
 from lilacloft.emulator.planes import Planes, Trouble
 from lilacloft.emulator.worlds import SECOND, World
 from rigs.account import Account
-from rigs.checker import Breach, Limits, check
+from rigs.checker import Breach, check
 from rigs.load import Load
 from rigs.scene import FAMILY, STATES, VHOSTS, Gateway, Scene, Timers
 from rigs.stands import ENV, Log, framed, record, unused
@@ -47,7 +47,8 @@
 
 KINDS = ("small", "large", "parent", "origin")
 ORIGIN = "s-00000fff"
-TOLD, FALL = 0.5, 1.0  # seconds after which all that can be reached know, and that a budget is for
+TOLD = 0.5  # seconds after which all that can be reached know
+LONGEST = 2.0  # that a box's process takes to start, at the most
 UP_AGAIN = 0.3  # seconds from a box's end to its new start
 DRAWN = {"lone": 1, "unlogged": 1,
          "silent": 3, "deaf": 1, "mute": 1, "apart": 1, "slow": 1, "lossy": 1, "cold": 2, "drain": 1,
@@ -119,7 +120,7 @@
         self.folder, self.seed, self.program, self.leaves = folder, seed, ("lilacloft",), leaves
         self.account, self.timers, self.lock = Account(), Timers(), threading.Lock()
         self.zones, self.hubs = zones, hubs
-        self.number, self.over = 1, False
+        self.number = 1
         self.sockets, self.memory_mb = 1024, 192
         self.bes: dict[str, Meta] = {}
         for number in range(zones * caches):
@@ -143,7 +144,6 @@
         self._wire()
         self.relays = [self._relay(place, ports) for place, ports in enumerate(self.spec)]
         self.sites = {place: self._site(place) for place in range(zones + hubs + 1)}
-        self.told: list[str] = []
 
     def _be(self, number: int, kind: str, zone: int) -> None:
         name = f"s-{number:08x}"
@@ -256,8 +256,7 @@
 
     # --- gateways and planners ---
 
-    def chance(self, purpose: str) -> Any:
-        return Scene.chance(self, purpose)  # type: ignore[arg-type]
+    chance, limits = Scene.chance, Scene.limits  # the part of a scene that loads and judges use
 
     def settings(self, zone: int, slot: int) -> dict[str, Any]:
         out = copy.deepcopy(ENV)
@@ -326,7 +325,7 @@
             list(pool.map(self.start_gateway, self.gateways))
 
     def close(self) -> None:
-        self.over = self.timers.over = True
+        self.timers.over = True
         for process in [*self.planners.values(), *(one.process for one in self.gateways if one.process)]:
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
@@ -345,9 +344,6 @@
             out += [json.loads(line) for line in path.read_text().splitlines() if line.endswith("}")]
         return sorted(out, key=lambda entry: entry["at"])
 
-    def limits(self) -> Limits:
-        return Scene.limits(self)  # type: ignore[arg-type]
-
     # --- the script ---
 
     def struck(self, fault: Fault) -> list[Meta]:
@@ -462,27 +458,46 @@
             pairs = [pair for pair in pairs if pair[0] in self.planner_names]
         return [(at, lambda: self.cut(pairs, stall=True)), (end, lambda: self.cut(pairs, stall=False))]
 
-    def excused(self, breach: Breach, entries: list[dict[str, Any]]) -> bool:
-        """Is it the script's own doing? A dispatch called back behind a link that was cut, where nobody could
-        tell its box; a req whose gateway the script had stopped or killed; a purge, or a cold start, that
-        gateways could not have been told of."""
+    def judged(self, entries: list[dict[str, Any]]) -> tuple[list[Breach], int]:
+        """Breaches, and how many more are the script's own doing: a dispatch called back behind a link that
+        was cut, where nobody could tell its box; a req whose gateway the script had stopped or killed; a
+        purge that its gateway could not have been told of. Cold boxes are judged by what came from gateways
+        that had been told of the start, as it is they who are to keep the budget."""
+        reqs = {entry["ref"]: entry for entry in entries if entry["what"] == "req"}
+        names = {gateway.port: gateway.name for gateway in self.gateways}
+        told = [entry for entry in entries if entry["what"] != "do" or not self._unknowing(
+            entry, names.get(reqs.get(entry["ref"], {}).get("gateway")))]
+        all_ = check(entries, self.limits())
+        real = [one for one in all_ if one.rule != 4 and not self._excused(one, reqs, names)]
+        real += [one for one in check(told, self.limits()) if one.rule == 4]
+        return sorted(real, key=lambda one: one.at), len(all_) - len(real)
+
+    def _unlogged(self, name: str | None, begin: float, end: float) -> bool:
+        """Was a gateway cut off from the change log, at any time between the two?"""
+        return any(who == name and whom == "log" and since <= end and begin <= until
+                   for who, whom, since, until in self.cuts)
+
+    def _unknowing(self, entry: dict[str, Any], name: str | None) -> bool:
+        """Was a dispatch sent by a gateway that could not know of its boxes' last starts?"""
+        for be in (entry["who"], entry.get("next")):
+            births = [at for other, at in self.births if other == be and at - LONGEST <= entry["at"]]
+            if births and (entry["at"] <= births[-1] + TOLD
+                           or self._unlogged(name, entry["at"] - TOLD, entry["at"])):
+                return True
+        return False
+
+    def _excused(self, breach: Breach, reqs: dict[str, Any], names: dict[int, str]) -> bool:
         words = breach.text.split()
         if breach.rule == 2 and "out twice" in breach.text:
             return any(whom == words[-1] and begin <= breach.at <= end for _, whom, begin, end in self.cuts)
-        if breach.rule == 4:
-            told = max((at for name, at in self.births if name == breach.who), default=0.0)
-            return breach.at < told + TOLD + FALL or any(
-                whom == "log" and begin <= breach.at <= end for _, whom, begin, end in self.cuts)
-        req = next((entry for entry in entries if entry["what"] == "req" and entry["ref"] == words[0]), None)
+        req = reqs.get(words[0])
         if req is None:
             return False
         if breach.rule == 1:
-            return any(port == req["gateway"] and begin <= breach.at and req["at"] <= end
-                       for port, begin, end in self.halted)
-        names = {gateway.name for gateway in self.gateways if gateway.port == req["gateway"]}
-        return breach.rule == 5 and any(
-            who in names and whom == "log" and begin <= breach.at and req["at"] <= end
-            for who, whom, begin, end in self.cuts)
+            return any(word in breach.text for word in ("lost", "too late", "never")) and any(
+                port == req["gateway"] and begin <= breach.at and req["at"] <= end
+                for port, begin, end in self.halted)
+        return breach.rule == 5 and self._unlogged(names[req["gateway"]], req["at"], breach.at)
 
 
 def drawn(seed: int, seconds: float, count: int, sizes: dict[str, int]) -> list[Fault]:
@@ -494,10 +509,10 @@
 
 
 def run(script: str, gateways: int, planners: int, seconds: float, rate: float, seed: int, count: int = 0,
-        leaves: bool = True, caches: int = 4, keep: Path | None = None) -> dict[str, Any]:
+        leaves: bool = True, caches: int = 4) -> dict[str, Any]:
     """One run: a script of `rigs.zones`, or `drawn`."""
     with tempfile.TemporaryDirectory(prefix="fleet") as name:
-        fleet = Fleet(keep or Path(name), seed, gateways, planners, caches=caches, leaves=leaves)
+        fleet = Fleet(Path(name), seed, gateways, planners, caches=caches, leaves=leaves)
         sizes = {"zone": 4, "hub": 2, "cache": 4 * caches, "parent": 4, "gateway": gateways, "object": 40}
         told = None if script == "drawn" else SCRIPTS.get(script)
         faults = language.parse(told.faults) if told else drawn(seed, seconds, count, sizes)
@@ -523,18 +538,16 @@
                     for name in fleet.planner_names if fleet.planners[name].poll() is None
                     for zone in range(6)} if leaves else {}
             entries = fleet.entries()
-            breaches = check(entries, fleet.limits())
+            breaches, beyond = fleet.judged(entries)
             logs = [path.read_text() for path in sorted(fleet.folder.glob("*.log"))]
         finally:
             fleet.close()
-    reqs = [entry for entry in entries if entry["what"] == "req"]
-    real = [one for one in breaches if not fleet.excused(one, reqs)]
     left = {place: lines for place, lines in said.items() if any("left, 0" in line for line in lines)}
     answered = sum(counts[what] for what in ("done", "denied", "aborted"))
     return {"script": script, "faults": [str(fault) for fault in faults], "gateways": gateways,
             "planners": planners, "seconds": seconds, "rate": rate, "seed": seed, "leaves": leaves,
-            "counts": counts, "done": counts["done"] / max(1, answered), "breaches": len(real),
-            "all": [str(one) for one in real], "beyond": len(breaches) - len(real),
+            "counts": counts, "done": counts["done"] / max(1, answered), "breaches": len(breaches),
+            "all": [str(one) for one in breaches], "beyond": beyond,
             "faults_seen": sum(text.count("Traceback") for text in logs), "left": left,
             "latency_ms": histogram([took for _, took, _, word in load.times if word == "200"]),
             "tail": [text[-1500:] for text in logs if "Traceback" in text][:3]}
--- a/rigs/scene.py
+++ b/rigs/scene.py
@@ -135,14 +135,28 @@
         elif verb == b"do":
             self._do(sock, number, items[1], fields(items[2]))
 
-    def _do(self, sock: socket.socket, number: int, ref: bytes, told: dict[str, str]) -> None:
+    def _taken(self, number: int, ref: bytes, told: dict[str, str],
+               of_gateway: bool = True) -> tuple[str, int, float]:
+        """A dispatch has come, or another box's question; returns the object, its part, the oldest copy that
+        will do."""
         key, part = told["thing"], int(told["nth"])
         age = int(told["agelim"]) / 1000 if int(told.get("agelim", 0)) else 8.0
         with self.lock:
             self.open[number, ref] = True
-            self.scene.account.write(
-                self.name, "do", conn=number, ref=ref.decode(), vhost=told["profile"], key=key, part=part,
-                next=told.get("next"), age=age, replay=told.get("replay"))
+            if of_gateway:
+                self.scene.account.write(
+                    self.name, "do", conn=number, ref=ref.decode(), vhost=told["profile"], key=key, part=part,
+                    next=told.get("next"), age=age, replay=told.get("replay"))
+        return key, part, age
+
+    def drop(self, key: str, at: float) -> None:
+        """A while after a purge it has no older copy any more. (All objects here are of one group.)"""
+        for place, born in list(self.copies.items()):
+            if born < at and (not key or place[0] == key):
+                self.copies.pop(place, None)
+
+    def _do(self, sock: socket.socket, number: int, ref: bytes, told: dict[str, str]) -> None:
+        key, part, age = self._taken(number, ref, told)
         if self.silent:
             return
         if self.chance.random() < self.resets:
@@ -241,11 +255,9 @@
 
     def drop(self, key: str, at: float) -> None:
         """A while after a purge no box has an older copy any more, as the settings promise: from then on
-        gateways may forget it. (All objects here are of one group.)"""
+        gateways may forget it."""
         for box in list(self.scene.boxes.values()):
-            for place, born in list(box.copies.items()):
-                if born < at and (not key or place[0] == key):
-                    box.copies.pop(place, None)
+            box.drop(key, at)
 
 
 class Gateway:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -156,3 +156,36 @@
 
 def test_faults_drawn_from_a_seed_break_no_rule():
     check(run("drawn", 8, 3, 12.0, 40.0, 5, count=8, caches=2), 4)
+
+
+def test_cold_boxes_are_judged_by_what_came_from_those_that_were_told(tmp_path):
+    """Forty dispatches of a tenth of a second each within 0.4 s, at a box that started a second before: of a
+    gateway that had been told a breach, of one whose change log was cut the script's doing."""
+    fleet = Fleet(tmp_path, 1, 4, 1, caches=1)
+    try:
+        told, cut = fleet.gateways[0], fleet.gateways[1]
+        be, start = fleet.caches[0], 1000.0
+        fleet.births.append((be.name, start + 0.3))
+        fleet.cuts.append((cut.name, "log", start - 5.0, start + 9.0))
+
+        def entries(gateway):
+            out = [{"at": start, "who": "log", "what": "listed", "be": be.name, "state": "active",
+                    "started": start, "capacity": 5.0, "kind": "small"}]
+            for number in range(40):
+                ref, at = f"{number:016x}", start + 1.0 + number * 0.01
+                out += [{"at": at, "who": "clients", "what": "req", "ref": ref, "vhost": "clip", "key": "1",
+                         "part": 0, "group": 7, "allow": 2.5, "kbytes": 400.0, "effect": "replayable",
+                         "gateway": gateway.port},
+                        {"at": at, "who": be.name, "what": "do", "conn": 1, "ref": ref, "next": None},
+                        {"at": at + 0.005, "who": be.name, "what": "end", "conn": 1, "ref": ref,
+                         "word": "data"},
+                        {"at": at + 0.005, "who": "clients", "what": "answer", "ref": ref, "word": "200",
+                         "born": None, "whole": True}]
+            return out
+
+        breaches, beyond = fleet.judged(entries(told))
+        assert breaches and {one.rule for one in breaches} == {4} and beyond == 0
+        breaches, beyond = fleet.judged(entries(cut))
+        assert not breaches and beyond > 0
+    finally:
+        fleet.close()
