Planners reckon locations once a look; what the change left unused is gone

Seen in reading the change again: _bears summed all forwarders' fills anew for each location, and _across did all of it a second time (locations times forwarders, twice a tick); whom the new faults strike was said twice, beside struck(); how bes grow warm was fixed at a planner's first look, when the list may not have come, and fell back to location 0's; _own_path looked through a tuple for each be. Change: one pass over the forwarders a look, kept for _across; struck() alone says whom; told each look; a set. Unused: Decider.changes, Left.tried, least(ages), a minimum of one with one or more.

--- a/lilacloft/emulator/fleet.py
+++ b/lilacloft/emulator/fleet.py
@@ -428,6 +428,8 @@
     def struck(self, fault: Fault) -> list[Any]:
         """Whom a fault strikes; nobody where this world has no such one."""
         number = int(fault.which) if fault.which.isdigit() else 0
+        if fault.kind in ("unlogged", "lone") and fault.whom == "zone":
+            return [one for one in self.gateways if one.zone == number]
         if fault.whom == "cache":
             return self.caches[number : number + 1]
         if fault.whom == "parent":
@@ -477,8 +479,6 @@
                     self._state(box)
                     self.events.at(end, FAULT, self._back, box)
         elif kind in ("lag", "break", "unlogged"):
-            if kind == "unlogged":
-                kind, whom = "break", [one for one in self.gateways if one.zone == int(fault.which)]
             for gateway in whom or self.gateways:
                 self._log_way(gateway, kind, int(fault.hard * SECOND) or 1)
                 self.events.at(end, FAULT, self._log_way, gateway, kind, 0)
--- a/lilacloft/emulator/planes.py
+++ b/lilacloft/emulator/planes.py
@@ -189,8 +189,7 @@
     def strike(self, fault: Fault) -> None:
         if fault.kind != "lone":
             return super().strike(fault)
-        names = {one.name for one in self.gateways if fault.which == str(
-            one.zone if fault.whom == "zone" else one.number)}
+        names = {one.name for one in self.struck(fault)}
         for plane in self.planners:
             mine = names - plane.cut
             plane.cut |= mine
--- a/lilacloft/plan/planner.py
+++ b/lilacloft/plan/planner.py
@@ -62,6 +62,23 @@
     hubs: pace.Warming = field(default_factory=pace.Warming)  # how parents grow warm
 
 
+@dataclass
+class Asked:
+    """What a location's forwarders together tell: reqs a second; KB a second that they ask for, that come by
+    fills, and of those past the caches."""
+
+    reqs: float = 0.0
+    kbytes: float = 0.0
+    fills: float = 0.0
+    past: float = 0.0
+
+    def add(self, told: Summary) -> None:
+        self.reqs += told.reqs
+        self.kbytes += told.asked
+        self.fills += sum(told.fills.values())
+        self.past += told.past
+
+
 @dataclass
 class Known:
     """What is known of one forwarder."""
@@ -89,6 +106,7 @@
         self.placed: dict[places.Place, float] = {}
         self.asked = 0
         self.zones: Decider | None = None
+        self.bears: dict[int, pace.Bears] = {}  # of locations with caches, as of the last look
         self.counts = dict.fromkeys(("summaries", "stale", "plans", "lent", "borrowed", "greedy"), 0)
 
     # --- what is heard ---
@@ -172,13 +190,13 @@
 
         out, trials_, ways = ({be: told for be, told in part.items() if near(be)}
                               for part in (plan.out, plan.trials, plan.ways))
-        names = plan.renews.get(zone, ())
+        names, hubs = plan.renews.get(zone, ()), self._hubs()
         return Plan(plan.name, plan.listed, out, trials_, ways,
                     {zone: plan.links[zone]} if zone in plan.links else {},
                     {name: plan.parts[name] for name in names if name in plan.parts},
                     {zone: names} if names else {},
                     {other: told for other, told in plan.zones.items()
-                     if other == zone or other in self._hubs()})
+                     if other == zone or other in hubs})
 
     def _changed(self, change: Change | None) -> None:
         if change and (change.new or change.member.state in ("gone", "left")):
@@ -289,8 +307,7 @@
     def _zones(self, now: int) -> None:
         """Decide of whole locations, or follow what others have decided."""
         if self.zones is None:
-            hubs = dict.fromkeys(self._hubs(), self.site.hubs)
-            self.zones = Decider(now, {**dict.fromkeys(self.site.links, self.site.caches), **hubs})
+            self.zones = Decider(now)
         fresh = {name: known for name, known in sorted(self.known.items()) if now - known.at <= LATELY}
         if not self.issuer.issues or self.zones.listens(now):
             held: dict[int, tuple[int, int]] = {}
@@ -300,11 +317,19 @@
                     held[zone] = min(back, before[0]), max(fails, before[1])
             return self.zones.take_up(held, now)
         places = self._places()
+        self.zones.warming = {zone: self.site.hubs if place.parents else self.site.caches
+                              for zone, place in places.items()}
         view = evidence.View(places, self._looks(now), frozenset(fresh), frozenset(self.judge.astray))
-        traffic = {zone: sum(known.summary.reqs for known in self.known.values()
-                             if known.summary.zone == zone) for zone in places}
-        self.zones.look(evidence.judge(view), traffic, {zone: self._bears(zone, place)
-                                                        for zone, place in places.items()}, now)
+        asked: dict[int, Asked] = {zone: Asked() for zone in places}
+        for known in self.known.values():
+            asked.setdefault(known.summary.zone, Asked()).add(known.summary)
+        fills = sum(one.fills for one in asked.values())
+        parents = sum(be.size * self.site.pace if self.site.sizes else self.site.parents
+                      for be in self.bes.values() if be.kind == "parent" and be.ready)
+        bears = {zone: self._bears(zone, place, asked[zone], fills, parents)
+                 for zone, place in places.items()}
+        self.bears = {zone: one for zone, one in bears.items() if not places[zone].parents}
+        self.zones.look(evidence.judge(view), {zone: asked[zone].reqs for zone in places}, bears, now)
         return None
 
     def _places(self) -> dict[int, evidence.Place]:
@@ -335,26 +360,20 @@
                         sight.streak, answers, sight.unfilled, sight.filled)
         return out
 
-    def _bears(self, zone: int, place: evidence.Place) -> pace.Bears:
-        """What a location bears now, and what there is to fill it."""
-        mine = [known.summary for known in self.known.values() if known.summary.zone == zone or place.parents]
+    def _bears(self, zone: int, place: evidence.Place, asked: Asked, fills: float,
+               parents: float) -> pace.Bears:
+        """What a location bears now, and what there is to fill it: `fills` of all locations together, of what
+        all parents can send."""
         link = self.site.links.get(zone, float("inf"))
         rows = [self.bes[be] for be in place.bes]
         size = 2 * link / self.site.pace / max(1, len(rows))  # as the module has it where sizes are not told
         if place.parents:
             size = self.site.parents / self.site.pace
         sizes = tuple((row.size if self.site.sizes else size, row.age) for row in rows)
-        fills = sum(sum(told.fills.values()) for told in mine)
-        past = sum(told.past for told in mine)
         if place.parents:  # what its parents are asked for is the fills; they fill from the origin
             return pace.Bears(fills, self.site.pace, sizes, self.site.origin)
-        parents = sum(be.size * self.site.pace if self.site.sizes else self.site.parents
-                      for be in self.bes.values() if be.kind == "parent" and be.ready)
-        others = sum(sum(known.summary.fills.values()) for known in self.known.values()
-                     if known.summary.zone != zone)
-        asked = sum(told.asked for told in mine)
-        return pace.Bears(asked, self.site.pace, sizes, max(0.0, min(link, parents - others)),
-                          max(0.0, fills - past))
+        spare = max(0.0, min(link, parents - (fills - asked.fills)))
+        return pace.Bears(asked.kbytes, self.site.pace, sizes, spare, max(0.0, asked.fills - asked.past))
 
     def _told(self, who: Mapping[int, list[str]], now: int) -> dict[int, Told]:
         if self.zones is None:
@@ -368,12 +387,10 @@
         """Which locations take what is away from which, by what those that are all in use have to spare."""
         if self.zones is None:
             return {}
-        places = {zone: place for zone, place in self._places().items() if not place.parents}
-        courses = self.zones.courses
-        away = [zone for zone in places if zone in courses and courses[zone].back < SLICES]
-        bears = {zone: self._bears(zone, place) for zone, place in places.items()}
+        courses, bears = self.zones.courses, self.bears
+        away = [zone for zone in bears if zone in courses and courses[zone].back < SLICES]
         spare = {}
-        for zone in places:
+        for zone in bears:
             if zone not in away:
                 able = sum(size for size, age in bears[zone].sizes if age >= self.site.caches.warm)
                 spare[zone] = max(0.0, able * self.site.pace - bears[zone].demand) / max(1, len(away))
--- a/lilacloft/zones/course.py
+++ b/lilacloft/zones/course.py
@@ -103,12 +103,11 @@
 class Decider:
     """All locations' courses, as one planner decides them."""
 
-    def __init__(self, now: int, warming: Mapping[int, pace.Warming] | None = None) -> None:
+    def __init__(self, now: int) -> None:
         self.began = now
-        self.warming = dict(warming or {})
+        self.warming: Mapping[int, pace.Warming] = {}  # how locations' bes grow warm, where it is told
         self.courses: dict[int, Course] = {}
         self.tallies: dict[tuple[str, int, int], Tally] = {}  # by forwarder, its life, location
-        self.changes = 0
 
     # --- what is heard ---
 
@@ -156,7 +155,8 @@
 
     def look(self, findings: Mapping[int, Finding], traffic: Mapping[int, float],
              bears: Mapping[int, pace.Bears], now: int) -> None:
-        """Decide anew. `traffic`: reqs a second by location (of a hub: those that its parents serve)."""
+        """Decide anew. `traffic`: reqs a second of each location's own forwarders (a hub has
+        none)."""
         for zone in [zone for zone in self.courses if zone not in findings]:
             del self.courses[zone]
         total = sum(traffic.values()) or 1.0
@@ -215,11 +215,11 @@
         elif course.well < WELLS or course.proved - course.proven < self.proof(course):
             course.waits = (f"its trials answered for {self.proof(course) / 10_000:g} s and {WELLS} of them, "
                             f"{course.well} so far")
-        elif not (room := pace.most(reach, self._warming(zone))):
+        elif not pace.most(reach, self._warming(zone)):
             course.waits = "none of its bes is ready"
         else:
             course.state, course.since, course.steps = BACK, now, now
-            course.step = course.back = min(1, room)
+            course.step = course.back = 1
             self._say(course, now, f"{course.well} trials answered in a row")
 
     def _back(self, course: Course, zone: int, finding: Finding, reach: pace.Bears, now: int) -> None:
@@ -262,12 +262,11 @@
             self._say(course, now, "all of its slices are back")
 
     def _say(self, course: Course, now: int, why: str) -> None:
-        self.changes += 1
         course.why, course.waits = why, ""
         course.log = [*course.log[-31:], (now, f"{course.state}, {course.back} of {SLICES} slices: {why}")]
 
     def _warming(self, zone: int) -> pace.Warming:
-        return self.warming.get(zone) or self.warming.get(0) or pace.Warming()
+        return self.warming.get(zone) or pace.Warming()
 
     # --- what is decided ---
 
--- a/lilacloft/zones/evidence.py
+++ b/lilacloft/zones/evidence.py
@@ -112,8 +112,9 @@
 def _one(view: View, place: Place) -> Finding:
     who = place.forwarders if not place.parents else tuple(sorted(
         name for other in view.places.values() for name in other.forwarders))
+    mine = frozenset(place.bes)
     heard = [name for name in who if name in view.heard and name not in view.astray
-             and not _own_path(view, place, name)]
+             and not _own_path(view, mine, name)]
     if who and len([name for name in who if name in view.heard]) < HEARS * len(who):
         return Finding(SILENT)
     by, against, each = _votes(view, place.bes, heard, place.parents)
@@ -132,10 +133,10 @@
     return Finding(WELL if each else FEW, False, by, against, len(failing), len(each))
 
 
-def _own_path(view: View, place: Place, name: str) -> bool:
-    """Does a forwarder see nothing well that is not of this location, and something fail?"""
+def _own_path(view: View, mine: frozenset[str], name: str) -> bool:
+    """Does a forwarder see nothing well that is not of a location, whose bes are told, and something fail?"""
     outside = [fails for be, look in view.looks.get(name, {}).items()
-               if be not in place.bes and (fails := look.fails()) is not None]
+               if be not in mine and (fails := look.fails()) is not None]
     return bool(outside) and all(outside)
 
 
--- a/lilacloft/zones/keep.py
+++ b/lilacloft/zones/keep.py
@@ -34,7 +34,6 @@
     back: int = 0
     tries: bool = False  # this forwarder may try it now
     next: int = 0  # when the next trial may go, in the module's time
-    tried: int = 0
     to: tuple[tuple[int, float], ...] = ()
 
     def away(self, place: str, harmless: bool, now: int) -> bool:
@@ -43,7 +42,7 @@
         if not away(place, self.zone, self.back):
             return False
         if self.tries and harmless and now >= self.next:
-            self.next, self.tried = now + TURN, self.tried + 1
+            self.next = now + TURN
             return False
         return True
 
--- a/lilacloft/zones/pace.py
+++ b/lilacloft/zones/pace.py
@@ -18,7 +18,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from lilacloft.zones.slices import SLICES
@@ -82,7 +81,7 @@
     return max(0, min(most_now, math.floor(SLICES * free / bears.demand + 1e-9)))
 
 
-def least(bears: Bears, warming: Warming, tick: int, kept: float, ages: Iterable[int] = ()) -> int:
+def least(bears: Bears, warming: Warming, tick: int, kept: float) -> int:
     """The least ticks in which all slices can be back, for one who knows everything: each tick as many as
     both bounds leave, and a slice misses `kept` of what it missed a tick before. What a course is measured
     against; not used to decide."""
--- a/rigs/zones.py
+++ b/rigs/zones.py
@@ -197,7 +197,7 @@
 def hurt(seed: int) -> list[str]:
     """A small world in which only observers are hurt: gateways by drawn faults, planners by drawn troubles.
     Returns what was decided of any location, and any rule that was broken."""
-    place = replace(world(24, 12, 110.0, 4, span=8.0), warm=True)
+    place = world(24, 12, 110.0, 4, span=8.0)
     stream = Chance(seed).stream("hurt")
     drawn = language.draw(stream, {"gateway": 12}, 6 * SECOND, 4, dict(HURT))
     fleet = Planes(place, seed, drawn, troubles=troubles(stream, 3, 6 * SECOND, 2), leave="past")
