A be is handed to Watch once; rigs end with their report by one piece of code

Seen in reading the change again: Watch.ended took a be's name and then the be beside it, with a none that nobody passed; five rigs ended with the same four lines, one of them new.

--- a/lilacloft/emulator/planes.py
+++ b/lilacloft/emulator/planes.py
@@ -77,9 +77,8 @@
     def ended(self, dispatch: Any, outcome: str, note: int, load: list[float]) -> None:
         if not dispatch.over and self.fleet.events.now >= self.frozen:
             req, took = dispatch.req, self.fleet.events.now - dispatch.sent
-            source = dispatch.source.name if dispatch.source else ""
-            self.watch.ended(dispatch.be.name, req.vhost, outcome, took, req.work, note, dispatch.kbytes,
-                             dispatch.be, source)
+            self.watch.ended(dispatch.be, req.vhost, outcome, took, req.work, note, dispatch.kbytes,
+                             req.source)
         super().ended(dispatch, outcome, note, load)
 
     def _speak(self, life: int) -> None:
--- a/lilacloft/plan/agent.py
+++ b/lilacloft/plan/agent.py
@@ -63,9 +63,7 @@
 
     def ended(self, call: Any, be: Any, outcome: str, took: int, note: int) -> None:
         """A dispatch is over."""
-        source = call.req.source
-        self.watch.ended(be.name, call.vhost, outcome, took, call.req.work, note, call.kbytes, be,
-                         source.name if source is not None and source is not be else "")
+        self.watch.ended(be, call.vhost, outcome, took, call.req.work, note, call.kbytes, call.req.source)
 
     def told(self, names: Iterable[str]) -> None:
         """The change log has told of bes."""
--- a/lilacloft/plan/watch.py
+++ b/lilacloft/plan/watch.py
@@ -31,26 +31,26 @@
         self.fills: dict[str, float] = {}  # KB since the last look, by vhost
         self.past, self.mean = 0.0, 0.0  # KB of those that went past the caches; of a mean answer
 
-    def ended(self, be: str, vhost: int, outcome: str, took: int, work: float, note: int,
-              kbytes: float, at: Any = None, source: str = "") -> None:
-        """A dispatch is over, so long after it was sent. `at`: the module's be; `source`: who filled it,
-        where that is another."""
+    def ended(self, be: Any, vhost: int, outcome: str, took: int, work: float, note: int, kbytes: float,
+              source: Any) -> None:
+        """A dispatch at one of the module's bes is over, so long after it was sent; `source`: the be that was
+        to fill it, itself where nobody was."""
         mine = self.router.vhosts[vhost]
         how = ("late" if took > mine.aim(work) else "well") if outcome in ANSWERED else \
             "failed" if outcome in FAILED else ""
         if how:
-            self.follower.ended(be, how)
-        direct = at is not None and at.kind in (self.router.parent_kind, self.router.origin_kind)
+            self.follower.ended(be.name, how)
+        direct = be.kind in (self.router.parent_kind, self.router.origin_kind)
         keeper = self.follower.keeper
         if keeper and outcome == "cancelled" and took > mine.aim(work):
             how = "failed"  # of a trial that was called back: it was given more than its time
-        if how and at is not None and keeper and at.kind != self.router.origin_kind:
-            keeper.ended(at.zone, how, outcome == "done" and note not in FILLED, self.follower.now,
+        if how and keeper and be.kind != self.router.origin_kind:
+            keeper.ended(be.zone, how, outcome == "done" and note not in FILLED, self.follower.now,
                          self.router.host.now())
         if outcome == "done":
             self.mean += ((kbytes or 1.0) - self.mean) * (1 / 16 if self.mean else 1)
-            if source and note in FILLED and how == "well":
-                self.follower.filled(source)
+            if source is not be and note in FILLED and how == "well":
+                self.follower.filled(source.name)
             if direct:
                 self.past += max(1.0, kbytes)
         if outcome == "done" and (note in FILLED or direct):
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -42,6 +42,7 @@
 from rigs.load import Load
 from rigs.scene import FAMILY, STATES, VHOSTS, Gateway, Scene, Timers
 from rigs.stands import ENV, Log, framed, record, unused
+from rigs.told import tell
 from rigs.upgrade import histogram
 from rigs.zones import SCRIPTS
 
@@ -587,10 +588,7 @@
         faults = [fault for text in report["faults"] for fault in language.parse(text)]
         report["beside"] = beside(given.script, faults, given.gateways, given.planners, given.seconds,
                                   given.rate, given.seed, given.caches, "never" if given.kept else "past")
-    text = json.dumps(report, indent=1)
-    if given.json:
-        Path(given.json).write_text(text + "\n")
-    print(text)
+    tell(report, given.json)
     return 0 if not (report["breaches"] or report["faults_seen"]) else 1
 
 
--- a/rigs/planes.py
+++ b/rigs/planes.py
@@ -25,6 +25,7 @@
 from rigs.load import Load
 from rigs.scene import Scene
 from rigs.stands import unused
+from rigs.told import tell
 from rigs.upgrade import histogram
 
 
@@ -170,10 +171,7 @@
     given = parser.parse_args(words)
     report = run(given.forwarders, given.planners, given.seconds, given.rate, given.seed, given.calm,
                  given.alone)
-    text = json.dumps(report, indent=1)
-    if given.json:
-        Path(given.json).write_text(text + "\n")
-    print(text)
+    tell(report, given.json)
     return 0 if not (report["breaches"] or report["faults"]) else 1
 
 
--- a/rigs/recording.py
+++ b/rigs/recording.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import argparse
-import json
 import os
 import statistics
 import sys
@@ -19,6 +18,7 @@
 
 from rigs.load import Load
 from rigs.scene import Scene
+from rigs.told import tell
 from rigs.upgrade import histogram
 
 TICK = os.sysconf("SC_CLK_TCK")
@@ -96,10 +96,7 @@
     more = median("on", "cpu_part") - median("off", "cpu_part")
     report = {"rounds": rounds, "cpu_on": median("on", "cpu_part"), "cpu_off": median("off", "cpu_part"),
               "more_of_a_core": more, "more_of_its_cpu": more / median("off", "cpu_part")}
-    text = json.dumps(report, indent=1)
-    if given.json:
-        Path(given.json).write_text(text + "\n")
-    print(text)
+    tell(report, given.json)
     return 0
 
 
--- a/rigs/store.py
+++ b/rigs/store.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import argparse
-import json
 import multiprocessing
 import os
 import random
@@ -31,6 +30,7 @@
 from rigs.disk import CrashError, Disk
 from rigs.load import Load
 from rigs.scene import Scene
+from rigs.told import tell
 from rigs.upgrade import histogram
 
 # --- every cut ---
@@ -377,10 +377,7 @@
     else:
         sizes = [int(float(one)) for one in given.sizes.split(",")]
         report, good = speed(given.seconds, sizes, given.folder), True
-    text = json.dumps(report, indent=1)
-    if given.json:
-        Path(given.json).write_text(text + "\n")
-    print(text)
+    tell(report, given.json)
     return 0 if good else 1
 
 
--- a/rigs/upgrade.py
+++ b/rigs/upgrade.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import argparse
-import json
 import os
 import shlex
 import signal
@@ -33,6 +32,7 @@
 from rigs.crash import STEPS
 from rigs.load import Load
 from rigs.scene import Scene
+from rigs.told import tell
 
 LOOK = 0.01  # seconds between two tries to be accepted
 WARM = 2.0  # seconds after a start in which its warmth is measured
@@ -346,10 +346,7 @@
             run.scene.close()
     faults = [line for line in log.split("\n") if "Traceback" in line or "failed in" in line]
     report["faults"] = faults
-    text = json.dumps(report, indent=1)
-    if given.json:
-        Path(given.json).write_text(text + "\n")
-    print(text)
+    tell(report, given.json)
     good = not (report["breaches"] or faults or report.get("unexpected"))
     return 0 if good else 1
 
