--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""The suite's own plugin: what KNOWN-RED.txt lists."""
+
+pytest_plugins = ["rigs.red"]
