A long connect time-out in the settings closes no new client and cuts no last answers

Ruled out: the accepting thread (8 connections taken), the client (no close). Three tests that fail without.

--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -139,7 +139,7 @@
         self.post, self.now, self.ended, self.parted = post, now, ended, parted
         self.slack = config["rules"]["answer_slack"]
         self.streams, self.patience = limits["streams_per_conn"] or 1, limits["connect_timeout"]
-        self.idle = max(limits["keepalive"] - self.patience, self.patience)  # before they close it crosswise
+        self.idle = max(limits["keepalive"] - self.patience, limits["keepalive"] // 2)  # before they close it
         self.most = most  # connections in all
         self.names = config["stats"]["names"]
         self.pools: dict[Be, Pool] = {}
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -32,6 +32,7 @@
 QUIET = 0.2  # and between two of their reqs then
 FAREWELL = 0.3  # seconds left to clients to close their halves, once ours are
 LAST = 3.0  # seconds after those in which the process may be killed at the earliest, if it is not done before
+EVERY = 0.5  # seconds between two looks at what stands still, at most: ends are owed in a few of them
 
 
 class Phase(Enum):
@@ -95,6 +96,7 @@
         events = list(known(config["known"]["results"], self.config["zones"], self.config["kinds"]))
         self.spare, clients, caches = budgets(config["limits"])
         self.back = Back(self.post, self.now, self.back_ended, self.parted, self.config, caches)
+        self.every = min(self.back.patience, int(EVERY * TENTHS))  # theirs may be long
         self.front = Front(self.post, self, address(self.listen), self.vhosts, clients, self.largest(),
                            sock)
         self.feed = Feed(address(config["changelog"]), last, self._heard, config.get("name", ""))
@@ -211,7 +213,7 @@
                 if not busy and (not left or self.time > self.shut + FAREWELL * TENTHS):
                     return True
                 self.at(self.time + self.grain, lambda: None)  # the next look
-            return self.time > self.by + self.back.patience // 2
+            return self.time > self.by + self.every // 2
         return self.phase is Phase.ENDED
 
     def stop(self) -> None:
@@ -223,7 +225,7 @@
         logger.info("told to stop: {} reqs are open", len(self.calls))
         self.ending = self.time
         self.by = (
-            self.time + int(COMING * TENTHS) + min(self.longest, int(LAST * TENTHS)) - self.back.patience
+            self.time + int(COMING * TENTHS) + min(self.longest, int(LAST * TENTHS)) - self.every
         )
         self.at(self.by, self._last)
 
@@ -255,9 +257,9 @@
 
     def sweep(self) -> None:
         """The periodic work."""
-        self.at(self.time + self.back.patience, self.sweep)
+        self.at(self.time + self.every, self.sweep)
         self.back.sweep()
-        self.front.sweep(self.longest / TENTHS, self.spare, self.back.patience / TENTHS)
+        self.front.sweep(self.longest / TENTHS, self.spare, self.every / TENTHS)
 
     def report(self) -> None:
         """Print the counters."""
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -260,6 +260,38 @@
     assert world.owner.counts["denied"] == world.owner.counts["aborted"] == 0
 
 
+LONG = {"connectTimeoutNs": 5 * 10**9, "keepaliveNs": 10**9}
+
+
+def test_a_long_connect_time_out_closes_no_client_that_has_just_come(here):
+    """The time-out is the settings'; it had been the span between two looks at clients as well, and what they
+    are owed, less two such spans, was below nothing: who had not brought a req yet was closed at once."""
+    world = here(serves(b"ok"), limits=LONG)
+    asker = world.asker()
+    until(lambda: world.owner.front.counts["connections"])
+    world.does(world.owner.sweep)
+    tag = asker.ask()
+    assert asker.answer() == [tag, b"200", b"", b"ok"]
+    assert world.owner.front.counts["closed_idle"] == 0
+
+
+def test_a_long_connect_time_out_takes_no_time_from_what_is_out_at_the_signal(here):
+    """All was given up at once there: the last moment was reckoned a connect time-out before the kill."""
+    world = here(silent, limits=LONG)
+    asker = world.asker()
+    tag = asker.ask(allow=3000)
+    _, sock, items = world.caches[0].next()
+    world.does(world.owner.stop)
+    assert world.owner.by - world.owner.ending > 3 * owners.TENTHS
+    until(lambda: world.does(lambda: world.owner.time) > world.owner.ending + 2000)
+    sock.sendall(encode(items[1], b"data", b"remark=TCP_HIT", b"bytes"))
+    assert asker.answer() == [tag, b"200", b"", b"bytes"]
+
+
+def test_an_idle_connection_is_closed_before_the_cache_would_also_after_a_long_connect_time_out(here):
+    assert here(silent, limits=LONG).owner.back.idle <= 10_000 / 2
+
+
 @pytest.mark.parametrize("how", [socket.SHUT_WR, socket.SHUT_RDWR])
 def test_a_connection_with_something_unread_or_open_is_not_closed_as_idle(here, monkeypatch, how):
     """A close over unread bytes is a reset, and a req in the kernel's buffer would be lost with it."""
