What waits for its connection is not sent after a drain, a start, a purge or its window

Found in review, then forced in tests (tests/test_ends.py, a connection that comes up when the test says so): a dispatch passes the gate (Router._send) when it is made, and may go out up to the settings' connect time-out later. By then its cache or fill source may drain (grace 400 ms, time-out 500 ms in tram-boards; 500 and 400 in red-sucursales), its cache may have started anew, the oldest copy that it allows may be older than a purge (heeded in 300 ms), or, for a uniqued req that may have run, the window of its key may be over. Lines at fault: Router.listed and purged looked at nothing that was out; _send held the window against the time of the decision only.

Change: listed and purged have the host withdraw what has not gone out (Host.withdraw; the simulator and the emulator send at once and do nothing); it passes the gate again. A second attempt of a uniqued req gets `send_by`, as one whose client may have left. What was taken back leaves its connection free for the same req. Ruled out: what has begun to go out, which counts from its first byte.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -137,11 +137,13 @@
         """Discovery tells of caches, parents and the origin."""
         if mode == "failed":
             return self.host.wake(self.host.now() + SWEEP, "subscribe") if self.subscribes else None
+        anew: list[Be] = []
         for be in self.known:
             be.status = be.status if mode == "delta" else 0
         for be, be.zone, be.kind, be.cell, be.status, size, started in entries:
             be.size = size if size > 0 else 1.0
             if started > be.started:
+                anew.append(be)
                 be.started, be.suspect, be.strikes, be.backoff, be.crowd = started, False, 0, 0, 0.0
             if self.across or be.zone == self.zone or be.kind in (self.parent_kind, self.origin_kind):
                 self.known.append(be)
@@ -159,6 +161,8 @@
             if be.way is None:
                 least = 1 / (self.zone_gateways if be in self.caches else self.gateways)
                 be.way = Limit(max(1.0, GENEROUS * self._part(be)), least)
+        # what the gate let go and has not gone out would come to a be that drains, or is cold now
+        self._withdraw(req for be in self.known if be.status != 1 or be in anew for req in be.reqs)
 
     # --- reqs ---
 
@@ -228,13 +232,21 @@
         req.send_by = min(req.send_by or math.inf, at + PARTING)
         return req.send_by
 
-    def parting(self, req: Req) -> None:
-        """That time has come, and no cache has its dispatch."""
+    def send_by_passed(self, req: Req) -> None:
+        """Its `send_by` has come, and no cache has its dispatch."""
         self.give_up(req)
 
     def purged(self, key: str, group: int, age: int) -> None:
         """An object, or without a key a whole group, was purged."""
         self.purges[key or group] = max(self.host.now() - age, self.purges.get(key or group, 0))
+        # what has not gone out allows a copy that is too old by now
+        self._withdraw(req for be in self.known for req in be.reqs
+                       if (req.key == key if key else req.group == group))
+
+    def _withdraw(self, reqs: Iterable[Req]) -> None:
+        """Have dispatches go through the gate anew, those of them that have not gone out."""
+        for req in dict.fromkeys(reqs):
+            self.host.withdraw(req, req.tries - 1)
 
     def checked(self, be: Be, took: int, outcome: str, load: list[float]) -> None:
         """A health check is answered: how crowded is it? By what it holds over what it held when partly busy;
@@ -389,6 +401,7 @@
             until = req.first_ran + vhost.window - self.tick
             if vhost.effect != "uniqued" or not held[vhost.group] or now >= until:
                 return False
+            req.send_by = min(req.send_by or math.inf, until)  # nor may it wait past that for its connection
         touched = (be,) if be is source else (be, source)
         for peer in touched:
             if peer.suspect and (now < peer.retry_at or peer.trial or vhost.effect != "replayable"):
--- a/lilacloft/drill/wire.py
+++ b/lilacloft/drill/wire.py
@@ -86,6 +86,9 @@
     def cancel(self, req: Req, seq: int) -> None:
         self.actions.append(["undoSend", self.ids[req], seq])
 
+    def withdraw(self, req: Req, seq: int) -> None:
+        """What is sent is out at once."""
+
     def deny(self, req: Req, after: int) -> None:
         self.actions.append(["notNow", self.ids[req], after * NS])
         self.answered.append(req)
--- a/lilacloft/emulator/gateway.py
+++ b/lilacloft/emulator/gateway.py
@@ -209,6 +209,9 @@
             else:
                 fleet.events.at(sure, NET, self.ended, dispatch, "cancelled", 0, [])
 
+    def withdraw(self, req: Req, seq: int) -> None:
+        """What is sent is out at once."""
+
     def deny(self, req: Req, after: int) -> None:
         self._final(req, "denied", after)
         self.fleet.events.at(self.fleet.events.now, CHECK, self._forget, req)
--- a/lilacloft/host.py
+++ b/lilacloft/host.py
@@ -23,6 +23,10 @@
     def cancel(self, req: Req, seq: int) -> None:
         """Stop waiting on a dispatch, counted from 0 within its req."""
 
+    def withdraw(self, req: Req, seq: int) -> None:
+        """Take a dispatch back if nothing of it has gone out: its outcome is then `unsent`. What allowed it
+        holds no more. Nothing happens where it has gone out, or where all goes out at once."""
+
     def deny(self, req: Req, after: int) -> None:
         """Final answer: unserved, and safe to ask again after the given span (0: none named)."""
 
--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -199,6 +199,8 @@
         if line is None or not line.withdraw(sent.place, len(sent.data)):
             return False
         self._off(line, sent)
+        if sent.call and line in sent.call.lines:
+            sent.call.lines.remove(line)  # it never carried this req
         return True
 
     def give_up(self, sent: Sent) -> int:
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -331,17 +331,17 @@
         for call in list(client.open.values()):
             if call.req is not None:
                 until = self.router.half_closed(call.req, self.time - max(0, self.steady - at))
-                self.at(until, self._parting, call)
+                self.at(until, self._send_by_passed, call)
 
-    def _parting(self, call: Call) -> None:
-        """That moment is over: what no cache has is given up at once."""
+    def _send_by_passed(self, call: Call) -> None:
+        """Nothing goes out for it any more: what no cache has is given up at once."""
         sent = call.sent
         if call.req.closed:
             return
         if sent is not None and self._take_back(sent):
             self.after.append((self.back_ended, sent, End.UNWRITTEN, 0, 0, [], b""))
         elif sent is None or sent.conn is None:
-            self.router.parting(call.req)
+            self.router.send_by_passed(call.req)
 
     def _take_back(self, sent: Sent) -> bool:
         """Take back a dispatch that has not gone out; False where it may have."""
@@ -518,6 +518,8 @@
             self.after.append((self.back_ended, sent, end, 0, 0, [], b""))
         else:
             self.at(until, self._time_up, sent)
+            if req.send_by:
+                self.at(req.send_by, self._send_by_passed, call)
 
     def cancel(self, req: Req, seq: int) -> None:
         call = self.calls.get(req)
@@ -529,6 +531,12 @@
         elif sent.conn is not None:
             self.after.append((self.parted, sent, End.CALLED_OFF, self.back.give_up(sent)))
 
+    def withdraw(self, req: Req, seq: int) -> None:
+        call = self.calls.get(req)
+        sent = call.sent if call else None
+        if sent is not None and sent.seq == seq and self._take_back(sent):
+            self.after.append((self.back_ended, sent, End.UNWRITTEN, 0, 0, [], b""))
+
     def deny(self, req: Req, after: int) -> None:
         call = self.calls[req]
         self._final(call, "denied", b"503", (("cooldown", -(-after // 10)),) if after else ())
--- a/lilacloft/state.py
+++ b/lilacloft/state.py
@@ -61,7 +61,7 @@
     tenant: int = 0
     write: bool = False
     repeat: bool = False
-    send_by: int = 0  # its client sends no more, and may have left: nothing goes out later; 0: it may ask on
+    send_by: int = 0  # nothing goes out later: its client may have left, or its window closes; 0: it may
     closed: bool = False  # it has had its final answer, or is owed none
     flowing: bool = False  # its stream has begun
     out: bool = False  # a dispatch is out
--- a/lilacloft/upgrade/carry.py
+++ b/lilacloft/upgrade/carry.py
@@ -254,6 +254,8 @@
         sent.place = told.place
         if call:
             call.sent = sent
+            if call.req.send_by:
+                owner.at(call.req.send_by, owner._send_by_passed, call)
         if told.over:
             owner.at(told.over[1], owner.back_ended, sent, End[told.over[0]], 0, 0, [], b"")
             return
--- a/rigs/model.py
+++ b/rigs/model.py
@@ -36,7 +36,7 @@
         self.config, self.time = config, 1000 * SEC
         self.beliefs = []
         self.wakes, self.wrong, self.sends, self.finals = [], [], [], []
-        self.history, self.purges, self.listed, self.asked = {}, [], {}, []
+        self.history, self.purges, self.listed, self.asked, self.withdrawn = {}, [], {}, [], []
         self.caches = [Be(f"c{n}") for n in range(caches)]
         self.parents = [Be(f"p{n}") for n in range(parents)]
         self.origin = Be("origin")
@@ -141,6 +141,9 @@
     def cancel(self, req, seq):
         self.asked.append(req)
 
+    def withdraw(self, req, seq):
+        self.withdrawn.append((req, seq))
+
     def deny(self, req, after):
         past, config = self.history[req], self.config["vhosts"][req.vhost]
         ran = [entry for entry in past if entry[4] not in ("full", "unreached", "unsent", "miss")]
--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -206,7 +206,8 @@
 
     allow = 1500  # ms that its clients wait
 
-    def __init__(self, tmp_path, caches=(None,), sockets=1024, memory_mb=192, python=(), limits=()):
+    def __init__(self, tmp_path, caches=(None,), sockets=1024, memory_mb=192, python=(),
+                 changes=lambda settings: None):
         self.python, self.early = python, []  # the interpreter's options; what was written before it served
         self.caches = [Stand(says or serves()) for says in caches]
         self.parent, self.origin, self.log = Stand(), Stand(), Log()
@@ -222,7 +223,7 @@
             "changelog": f"127.0.0.1:{self.log.port}",
             "known": {"seq": 1, "results": [
                 {"seq": 1, "fleet": {"rev": 1, "all": True, "targets": targets}}]}}
-        self.config["settings"]["limits"].update(limits)
+        changes(self.config["settings"])
         self.path = tmp_path / "config.json"
         self.start()
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -23,7 +23,7 @@
 from lilacloft.net.resp import encode
 from lilacloft.settings import settings
 from lilacloft.state import Be
-from rigs.stands import ENV, Asker, World, framed, serves, silent
+from rigs.stands import ENV, Asker, World, framed, record, serves, silent
 
 CLIP = b"x" * 200_000
 ASKED = b"ref=%016x,allow=3000,lookup=%016x,nth=0,batch=7,room=400"
@@ -98,6 +98,10 @@
         one.close()
 
 
+def limits(**more):
+    return lambda settings: settings["limits"].update(more)
+
+
 def until(holds, wait=5.0, what=lambda: ""):
     """Until something holds; an error where it does not within seconds."""
     end = time.monotonic() + wait
@@ -150,7 +154,7 @@
     """Within 0.3 s; its place and limits are given back by then. A closed half tells no more than a close
     does, so what waits is denied to both, and who reads on hears of it. Where the settings let no dispatch be
     cancelled, one that has not gone out is taken back all the same: no cache has it."""
-    world = here(silent, limits={"cancel": cancel, "connectTimeoutNs": 10**10})
+    world = here(silent, changes=limits(cancel=cancel, connectTimeoutNs=10**10))
     askers = [world.asker() for _ in range(many)]
     for number, asker in enumerate(askers):
         asker.ask(key=number, room=4)
@@ -233,6 +237,81 @@
     world.rests()
 
 
+# --- what was let go, and has not gone out when that holds no more ---
+
+
+def waiting(world):
+    """The dispatch that waits for its connection to come up."""
+    call, = world.does(lambda: list(world.owner.calls.values()))
+    return call.sent
+
+
+@pytest.mark.parametrize("drains", ["cache", "source"])
+def test_what_waits_for_a_connection_is_not_sent_to_or_through_who_drains_by_then(here, late, drains):
+    """A send counts from its first byte: the grace of a drain may be over when the connection comes up."""
+    world = here(serves(b"ok"), serves(b"ok"), changes=limits(connectTimeoutNs=10**10))
+    asker = world.asker()
+    tag = asker.ask(allow=3000)
+    assert late.begun.acquire(timeout=5)
+    sent = waiting(world)
+    if drains == "cache":
+        place = int(sent.be.name[2:], 16)
+        world.log.add(2, 2, record(place, world.caches[place - 1].port, state=1))
+        until(lambda: world.does(lambda: sent.be.status) == 2)
+    else:
+        assert b"next=s-00000003" in sent.data
+        world.log.add(2, 2, record(3, world.parent.port, state=1, kind=2))
+        until(lambda: not world.does(lambda: world.owner.router.parents))
+    late.set()
+    assert asker.answer() == [tag, b"200", b"", b"ok"]
+    if drains == "cache":
+        assert not waits_for(world.caches[place - 1], 0.1)
+    else:
+        place = int(sent.be.name[2:], 16)
+        assert b"next=s-00000003" not in world.caches[place - 1].next()[2][2]
+    world.rests()
+
+
+@pytest.mark.parametrize("kind", [3, 4])
+def test_what_waits_for_a_connection_when_a_purge_is_told_takes_no_copy_older_than_that(here, late, kind):
+    """The oldest copy that will do is reckoned as a dispatch is made, and was stale when it went out."""
+    world = here(serves(b"ok"), changes=limits(connectTimeoutNs=10**10))
+    asker = world.asker()
+    tag = asker.ask(key=5, allow=3000)
+    assert late.begun.acquire(timeout=5)
+    assert b"agelim=10000" in waiting(world).data
+    at = time.time_ns() // 10**6
+    world.log.add(2, kind, struct.pack(">QQ", 5, at) if kind == 3 else struct.pack(">HQ", 7, at))
+    until(lambda: world.does(lambda: world.owner.router.purges))
+    late.set()
+    assert asker.answer() == [tag, b"200", b"", b"ok"]
+    told = world.caches[0].next()[2][2]
+    assert int(told.split(b"agelim=")[1].split(b",")[0]) <= time.time_ns() // 10**6 - at
+    world.rests()
+
+
+def test_a_second_attempt_does_not_wait_for_its_connection_past_the_window(here, late):
+    """The first may have run; past its window the key is forgotten, and the effect would come twice."""
+    def changes(settings):
+        settings["limits"]["connectTimeoutNs"] = 10**10
+        settings["classes"][1]["repeatWindowNs"] = 400 * 10**6
+
+    world = here(silent, silent, changes=changes)
+    late.set()
+    asker = world.asker()
+    at = time.monotonic()
+    tag = asker.ask(b"pay", body=b"x", allow=3000, replay="5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+    first = next(one for one in world.caches if waits_for(one, 0.2))
+    late.clear()
+    first.break_off()
+    until(lambda: world.held()["out"] and waiting(world).seq == 1)
+    assert asker.answer()[:2] == [tag, b"503"]
+    assert time.monotonic() - at < 0.6
+    late.set()
+    assert not any(waits_for(one, 0.1) for one in world.caches)
+    world.rests()
+
+
 # --- a close by us ---
 
 
@@ -260,13 +339,13 @@
     assert world.owner.counts["denied"] == world.owner.counts["aborted"] == 0
 
 
-LONG = {"connectTimeoutNs": 5 * 10**9, "keepaliveNs": 10**9}
+LONG = limits(connectTimeoutNs=5 * 10**9, keepaliveNs=10**9)
 
 
 def test_a_long_connect_time_out_closes_no_client_that_has_just_come(here):
     """The time-out is the settings'; it had been the span between two looks at clients as well, and what they
     are owed, less two such spans, was below nothing: who had not brought a req yet was closed at once."""
-    world = here(serves(b"ok"), limits=LONG)
+    world = here(serves(b"ok"), changes=LONG)
     asker = world.asker()
     until(lambda: world.owner.front.counts["connections"])
     world.does(world.owner.sweep)
@@ -277,7 +356,7 @@
 
 def test_a_long_connect_time_out_takes_no_time_from_what_is_out_at_the_signal(here):
     """All was given up at once there: the last moment was reckoned a connect time-out before the kill."""
-    world = here(silent, limits=LONG)
+    world = here(silent, changes=LONG)
     asker = world.asker()
     tag = asker.ask(allow=3000)
     _, sock, items = world.caches[0].next()
@@ -289,7 +368,7 @@
 
 
 def test_an_idle_connection_is_closed_before_the_cache_would_also_after_a_long_connect_time_out(here):
-    assert here(silent, limits=LONG).owner.back.idle <= 10_000 / 2
+    assert here(silent, changes=LONG).owner.back.idle <= 10_000 / 2
 
 
 @pytest.mark.parametrize("how", [socket.SHUT_WR, socket.SHUT_RDWR])
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -342,3 +342,26 @@
         model.end(other)
     model.list("delta", [(model.caches[1], 1, 0)])
     assert old not in model.router.known
+
+
+def test_what_a_gate_let_go_passes_it_again_where_it_has_not_gone_out():
+    """A drain, a start or a purge may be told while a dispatch waits for its connection."""
+    model = Model(settings())
+    reqs = [model.ask(f"k{n}", group=n % 2) for n in range(8)]
+    sends = {req: last(model, req) for req in reqs}
+    be, source = sends[reqs[0]][1], sends[reqs[0]][2]
+
+    def withdrawn():
+        out, model.withdrawn = {req for req, seq in model.withdrawn if seq == req.tries - 1}, []
+        return out
+
+    assert not withdrawn()
+    model.list("delta", [(be, 2, 0)])
+    assert withdrawn() == {req for req in reqs if sends[req][1] is be}
+    model.list("delta", [(be, 1, 0)])
+    model.list("delta", [(source, 1, model.time)])
+    assert withdrawn() == {req for req in reqs if sends[req][2] is source}
+    model.router.purged("k3", 0, 0)
+    assert withdrawn() == {reqs[3]}
+    model.router.purged("", 1, 0)
+    assert withdrawn() == {req for req in reqs if req.group == 1}
