--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -46,11 +46,12 @@
         self.target = config["first_byte_target"]
         self.stretch = config.get("aim_stretch") or 0.0
         self.value, self.effect = config["value"], config["effect"]
-        self.group, self.window = config.get("repeat_group", "all"), config.get("repeat_window", 0)
+        self.group, self.window = config.get("repeat_group", "cell"), config.get("repeat_window", 0)
         self.fresh, self.grace, self.uncacheable = (
             (family.get(name) or [0] * (place + 1))[place] for name in ("fresh", "grace", "uncacheable"))
         # mean sending times, until one is seen what a target must leave room for; usual: without late answers
         self.work = self.usual = self.target / 2
+        self.asked = False  # has one come?
 
     def aim(self, work: float) -> int:
         """The span within which an answer earns the full value."""
@@ -169,8 +170,11 @@
     def arrived(self, req: Req) -> None:
         """A client asks."""
         vhost = self.vhosts[req.vhost]
-        if self.host.now() - req.arrived > LAG * vhost.target * vhost.value / (self.value or vhost.value):
+        worth = max(vhost.value / (self.value or vhost.value or 1.0), 1 / FAVOUR)
+        if self.host.now() - req.arrived > LAG * vhost.target * worth:
             return self.give_up(req)  # at once, and that of less value first: all it has is late else
+        if not vhost.asked:
+            vhost.asked, vhost.work = True, req.kbytes / self.pace or vhost.work
         req.units = req.kbytes or 1.0
         self.unit += LEARN * (req.units - self.unit) if self.unit else req.units
         self.value += LEARN * (vhost.value - self.value)
@@ -450,7 +454,8 @@
             return True
         if self.yielded or self._elsewhere(be):
             return False  # its own location's gateways have all of its budget
-        turn = max(work, *(vhost.work for vhost in self.vhosts))
+        # a guess at what nobody asks for would let many small reqs pass for one of its turns
+        turn = max([work, *(vhost.work for vhost in self.vhosts if vhost.asked)])
         pace = min(MARGIN * multiple / 2, BRISK) * self._part(be) * self.shares.get(be.name, 1.0) / turn
 
         def turns(age: int) -> float:
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -18,6 +18,7 @@
 
 from loguru import logger
 
+from lilacloft import needed
 from lilacloft.decide import Router
 from lilacloft.net.back import Back, Sent
 from lilacloft.net.conn import OUTCOMES, End
@@ -85,8 +86,9 @@
         self.counts = dict.fromkeys(("done", "denied", "aborted", "left", "faults"), 0)
         self.fault = 0  # when one was last told
         self.ends = dict.fromkeys((end.name for end in End), 0)
+        needed.config(config)
         self.listen = config["listen"]
-        self.config = settings(config["settings"])
+        self.config = settings(needed.told(config["settings"]))
         self.vhosts = self.config["vhosts"]
         self.slack, self.grain = self.config["rules"]["answer_slack"], self.config["granularity"]
         self.longest = max(vhost["client_timeout"] for vhost in self.vhosts)
@@ -212,7 +214,7 @@
                 left = self.front.part_all()
                 if not busy and (not left or self.time > self.shut + FAREWELL * TENTHS):
                     return True
-                self.at(self.time + self.grain, lambda: None)  # the next look
+                self.at(self.time + max(self.grain, 10), lambda: None)  # the next look
             return self.time > self.by + self.every // 2
         return self.phase is Phase.ENDED
 
@@ -239,6 +241,7 @@
         if self.upgrade and self.upgrade.reloads():
             return
         try:
+            needed.config(config)
             place, found = address(config["changelog"]), budgets(config["limits"])
             fixed = [name for name, given in self.given.items() if config[name] != given]
         except (KeyError, ValueError, TypeError, AttributeError) as wrong:
--- a/lilacloft/plan/serve.py
+++ b/lilacloft/plan/serve.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from lilacloft import needed
 from lilacloft.config.addresses import address
 from lilacloft.net.feed import Feed, known
 from lilacloft.plan import form
@@ -31,7 +32,7 @@
     def __init__(self, name: str, config: Mapping[str, Any], planners: Mapping[str, tuple[str, int]],
                  folder: str = "", leave: str = "never") -> None:
         """`leave`: whole locations may be left, `past` their caches, or `across`."""
-        found = settings(config["settings"])
+        found = settings(needed.told(config["settings"]))
         family = found["family"]
         self.name, self.kinds, self.found = name, (family["parent_kind"], family["source_kind"]), found
         self.cold = found["rules"]["cold"]
--- a/lilacloft/serving.py
+++ b/lilacloft/serving.py
@@ -116,6 +116,13 @@
 
 def check(path: str | None) -> int:
     """Say whether a configuration can be used."""
-    make({**read(path), "listen": "127.0.0.1:0"})
+    from lilacloft import needed
+
+    config = read(path)
+    try:
+        needed.config(config)
+    except ValueError as wrong:
+        raise UnusableError(f"the configuration cannot be used: {wrong}") from wrong
+    make({**config, "listen": "127.0.0.1:0"})
     print(f"{path}: usable")
     return 0
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,222 @@
+"""Other operators' settings: many legal ones beside the plain model of the rules, and what cannot be used."""
+
+import copy
+import json
+import os
+import random
+import signal
+
+import pytest
+
+from lilacloft import needed
+from lilacloft.cli import run as cli
+from lilacloft.settings import settings
+from rigs.model import SEC, Model
+from rigs.stands import ENV, World, serves
+
+MS = 10**6  # nanoseconds
+OUTCOMES = ["done"] * 8 + ["error", "full", "timeout", "unreached", "reset", "spoilt", "unsent", "miss",
+                           "hang"]
+
+
+def legal(seed):
+    """Legal settings, some of them at their ends, by the operators' names."""
+    chance = random.Random(seed)
+    pick, env = chance.choice, copy.deepcopy(ENV)
+    many = chance.randrange(1, 6)
+    env["classes"] = []
+    for number in range(many):
+        one = {"name": f"class {number}", "promiseNs": pick([1, 50, 400, 20_000]) * MS,
+               "deadlineNs": pick([20, 300, 3000, 60_000]) * MS, "gain": pick([0, 0.01, 1, 500]),
+               "repeat": pick(["repeatable", "by_key", "once"])}
+        for name, values in (("aimStretch", [None, 0, 2.5, 40.0]), ("dedupScope", ["all", "zone", "cell"]),
+                             ("repeatWindowNs", [None, 0, 1, 200 * MS, 60_000 * MS])):
+            if chance.random() < 0.8:
+                one[name] = pick(values)
+        env["classes"].append(one)
+    env.update(balancers=pick([1, 2, 300]), discovery=pick(["automatic", "subscribe"]),
+               slotNo=pick([0, 7, 299]),
+               granularityNs=pick([0, 1, 2 * MS, 50 * MS]), weightSource=pick(["silent", "nominal", "rough"]))
+    env["stats"]["names"] = pick([[], ["inflight", "util"], ["util", "x0", "inflight"], ["queue"]])
+    zone = pick([1, 2, 300])
+    env["familyInfo"].update(
+        zoneBalancers=[zone, 0], paceKbPerS=pick([1.0, 4000.0, 1e6]), joins=pick([True, False]),
+        passThroughOk=pick([True, False]), purgeDoneNs=pick([0, 6000 * MS]), parentFloor=pick([0, 0.06, 1.0]),
+        parentWarmsInNs=pick([0, 20_000 * MS]), parentBreaksAt=pick([1.0, 2.0, 9.0]),
+        parentKind=pick([-1, 2, 2]), freshForNs=[pick([0, 1, 8000 * MS]) for _ in range(many)],
+        staleForNs=[pick([0, 2000 * MS]) for _ in range(many)],
+        passOn=[pick([True, False]) for _ in range(many)])
+    for name in ("feedKbPerS", "freshForNs", "staleForNs", "passOn"):
+        if chance.random() < 0.2:
+            del env["familyInfo"][name]
+    env["limits"].update(
+        maxAttempts=pick([1, 2, 6, 100]), cancel=pick([True, False]), probes=pick([True, False]),
+        retryAfter=pick([True, False]), maxRetryAfterNs=pick([0, 500 * MS]), streamsPerConn=pick([0, 1, 32]),
+        connectTimeoutNs=pick([1 * MS, 400 * MS, 5000 * MS]), keepaliveNs=pick([0, 1000 * MS, 60_000 * MS]))
+    env["obligations"].update(
+        startCapacity=pick([0, 0.2, 1.0]), coldNs=pick([0, 15_000 * MS]), tipMultiple=pick([1.0, 2.0, 6.0]),
+        fallNs=pick([100 * MS, 1000 * MS]), answerSlackNs=pick([1 * MS, 8 * MS]))
+    return env
+
+
+def play(seed, steps=150):
+    chance, config = random.Random(seed), settings(needed.told(legal(seed)))
+    config["family"].update(parent_kind=1 if config["family"]["parent_kind"] >= 0 else -1, source_kind=2)
+    model = Model(config, parents=2 if config["family"]["parent_kind"] >= 0 else 0)
+    asked, open_reqs, vhosts = [], [], config["vhosts"]
+    for _ in range(steps):
+        model.run(chance.choice([5, 50, 300, 2000]))
+        open_reqs = [req for req in open_reqs if not req.closed or model.out(req)]
+        doing = chance.random()
+        if doing < 0.55:
+            for _ in range(chance.choice([1, 1, 1, 30])):
+                vhost = chance.randrange(len(vhosts))
+                left = min(vhosts[vhost]["client_timeout"], chance.choice([10, 300, SEC, 4 * SEC]))
+                size = chance.choice([0.0, 400.0]) if config["weight_source"] == "silent" else 400.0
+                open_reqs.append(
+                    model.ask(f"k{chance.randrange(20)}", chance.randrange(3), size, vhost, left, 1))
+                asked.append(open_reqs[-1])
+        elif doing < 0.85 and open_reqs:
+            req, outcome = chance.choice(open_reqs), chance.choice(OUTCOMES)
+            if model.out(req) and outcome != "hang":
+                if req.closed:
+                    model.end(req, "cancelled" if config["limits"]["cancel"] else outcome, final=False)
+                elif model.time <= req.until:
+                    model.end(req, outcome, took=chance.randrange(5, 6000))
+        elif doing < 0.9 and open_reqs:
+            req = chance.choice(open_reqs)  # its client may have left, and nobody can tell
+            if not req.closed:
+                model.router.half_closed(req, model.time)
+        elif doing < 0.95:
+            be = chance.choice(model.caches + model.parents)
+            model.list("delta", [(be, chance.choice([0, 1, 1, 2]),
+                                  chance.choice([0, model.time, model.time - SEC]))])
+        else:
+            key, age = chance.choice(["", f"k{chance.randrange(20)}"]), chance.randrange(3000)
+            model.purges.append((key, 1, model.time - age))
+            model.router.purged(key, 1, age)
+    model.run(max(vhost["client_timeout"] for vhost in vhosts) + SEC)
+    for req in asked:
+        if model.out(req):
+            model.end(req, "timeout", final=False)
+    return model, asked
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_rules_hold_with_any_legal_settings_and_nothing_is_left_behind(seed):
+    model, asked = play(seed)
+    assert model.wrong == []
+    assert [req for req, _ in model.finals if req not in asked] == [] and len(model.finals) == len(asked)
+    router = model.router
+    assert not any(be.reqs or be.load or be.trial or (be.way and be.way.count) for be in router.known)
+    assert router.link.count == 0
+
+
+def test_the_generated_settings_send_and_reach_their_ends():
+    """Else the test above would say little."""
+    models = [play(seed)[0] for seed in range(150)]
+    assert sum(len(model.sends) > 20 for model in models) > 75
+    outcomes = {entry[4] for model in models for past in model.history.values() for entry in past}
+    assert outcomes >= set(OUTCOMES) - {"hang"} | {"cancelled"}
+    assert sum(any(len(past) > 1 for past in model.history.values()) for model in models) > 40
+
+
+@pytest.mark.parametrize("seed", range(1000, 1012))
+def test_a_gateway_of_any_legal_settings_answers_on_sockets(seed, tmp_path):
+    env = legal(seed)
+    world = World(tmp_path, (serves(b"ok"),), changes=lambda told: (told.clear(), told.update(env)))
+    try:
+        asker = world.asker()
+        for number, one in enumerate(env["classes"]):
+            tag = asker.ask(one["name"].encode(), key=number, allow=2000, replay=f"{number:032x}")
+            told = asker.answer()
+            assert told[0] == tag and told[1] in (b"200", b"503", b"500")
+        asker.sock.close()
+        code, printed = world.stop()
+        assert code == 0 and "faults=" not in printed and "held: \n" in printed
+    finally:
+        world.close()
+
+
+def paths():
+    """Each setting known, as (where it stands, name, its form, what stands in)."""
+    yield from (((), name, *told) for name, told in needed.TOP.items())
+    yield from ((("classes", 1), name, *told) for name, told in needed.CLASS.items())
+    for part, table in needed.INNER.items():
+        yield from (((part,), name, *told) for name, told in table.items())
+
+
+def inside(env, way):
+    for step in way:
+        env = env[step]
+    return env
+
+
+@pytest.mark.parametrize("way, name, form, instead", paths())
+def test_a_setting_that_cannot_be_used_is_named(way, name, form, instead):
+    path = "".join(f"[{step}]" if isinstance(step, int) else f".{step}" for step in way)
+    for bad in (object(), [object()], "", -2, float("nan")):
+        env = copy.deepcopy(ENV)
+        inside(env, way)[name] = bad
+        with pytest.raises(ValueError, match=f"settings{path}.{name}: ".replace("[", r"\[")):
+            needed.told(env)
+    env = copy.deepcopy(ENV)
+    for nothing in (lambda part: part.pop(name, None), lambda part: part.update({name: None})):
+        nothing(inside(env, way))
+        if instead in (needed.REQUIRED, needed.ON_SOCKETS):
+            with pytest.raises(ValueError, match=f"settings{path} lacks {name}".replace("[", r"\[")):
+                needed.told(env)
+        else:
+            assert inside(needed.told(env), way)[name] == instead
+
+
+@pytest.mark.parametrize("change, told", [
+    (lambda env: env.update(zone=2), r"settings.zone: 2 is no place in zones"),
+    (lambda env: env["familyInfo"].update(sourceKind=4), r"settings.familyInfo.sourceKind: 4"),
+    (lambda env: env["familyInfo"].update(zoneBalancers=[]), r"zoneBalancers: has no entry for zone 0"),
+    (lambda env: env["familyInfo"].update(freshForNs=[1]), r"familyInfo.freshForNs: 1 entries for 2 classes"),
+    (lambda env: env["classes"][1].update(name="clip"), r"classes\[1\].name: clip is another class's"),
+])
+def test_settings_that_do_not_fit_together_are_named(change, told):
+    env = copy.deepcopy(ENV)
+    change(env)
+    with pytest.raises(ValueError, match=told):
+        needed.told(env)
+
+
+def test_what_is_unknown_or_null_is_passed_over_and_what_is_told_stays():
+    env = copy.deepcopy(ENV)
+    env["classes"][0].update(aimStretch=None, mood="blue")
+    env["novel"] = {"x": 1}
+    before = copy.deepcopy(env)
+    told = needed.told(env)
+    assert env == before and told["novel"] == {"x": 1} and told["classes"][0]["mood"] == "blue"
+    assert told["classes"][0]["aimStretch"] == 0.0 and told["classes"][1] == env["classes"][1]
+
+
+@pytest.mark.parametrize("change, told", [
+    (lambda config: config.pop("changelog"), "the configuration lacks changelog"),
+    (lambda config: config.update(changelog="nowhere"), "the configuration.changelog: host:port is wanted"),
+    (lambda config: config.update(listen="127.0.0.1:99999"), "the configuration.listen: host:port is wanted"),
+    (lambda config: config["limits"].update(sockets="x"), "limits.sockets: a whole number"),
+    (lambda config: config["limits"].pop("memory_mb"), "limits lacks memory_mb"),
+    (lambda config: config["known"].update(seq=-1), "known.seq: "),
+    (lambda config: config["settings"]["classes"][1].update(repeat="never"), "settings.classes[1].repeat: "),
+])
+def test_a_bad_configuration_is_told_and_leaves_the_old_one_at_sighup(change, told, tmp_path, capsys):
+    world = World(tmp_path, (serves(b"ok"),))
+    try:
+        good = world.path.read_text()
+        bad = json.loads(good)
+        change(bad)
+        world.path.write_text(json.dumps(bad))
+        os.kill(world.process.pid, signal.SIGHUP)
+        line = world.process.stderr.readline()
+        assert "the old configuration stays" in line and told in line
+        asker = world.asker()
+        tag = asker.ask()
+        assert asker.answer() == [tag, b"200", b"", b"ok"]
+        assert cli(["check", "--config", str(world.path)]) == 2
+        assert told in capsys.readouterr().err
+    finally:
+        world.close()
