A renewal that never went out, or whose client left, is asked for by the next req

Need: nothing may stay held when all has ended, renewals included. Line at fault: Router._send marks an object as being renewed for four fifths of its fresh time; where the dispatch was taken back, refused or cancelled no cache renews it, and copies run into the grace. Router.ended takes the mark back for these outcomes; a time-out keeps it, as the cache may be at it, and the next req would add to what is late. The test fails without.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -37,6 +37,7 @@
 LAG = 0.5  # part of its target that a req may lie unread here: beyond, there is more than can be done
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "spoilt", "cancelled")  # outcomes after which a dispatch may have run
+UNSPENT = ("unsent", "unreached", "full", "cancelled")  # after which a renewal does not come about
 
 
 class Vhost:
@@ -207,6 +208,8 @@
             return
         trial = req.source.trial
         source = self._release(req, be)
+        if req.renew and outcome in UNSPENT and req.obj.marked == req.sent:
+            req.obj.marked = None  # no cache renews for it: the next one may
         self._blame(req, be, source, outcome, took, note, trial)
         req.closed = req.closed or final
         if req.closed:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -365,3 +365,21 @@
     assert withdrawn() == {reqs[3]}
     model.router.purged("", 1, 0)
     assert withdrawn() == {req for req in reqs if req.group == 1}
+
+
+def test_a_renewal_that_did_not_go_out_is_asked_for_by_the_next_req():
+    """One a fresh time renews; where its dispatch never ran, or its client left, nobody would that long."""
+    for outcome, again in (("unsent", True), ("unreached", True), ("full", True), ("cancelled", True),
+                           ("timeout", False), ("done", False)):
+        model = Model(settings(fresh=(10 * SEC,), grace=(5 * SEC,)))
+        req = model.ask("k")
+        assert last(model, req)[5]["renew"]
+        if outcome == "cancelled":
+            model.router.left(req)
+            model.finals.append((req, model.time))
+            model.called_off()
+        else:
+            model.end(req, outcome)
+        sent_again = outcome in ("unsent", "unreached", "full")
+        follows = last(model, req if sent_again else model.ask("k"))
+        assert follows[5]["renew"] == again, outcome
