A vhost's largest reqs meet limits as the mean one while they get less than their part

Line at fault: Router._send's `favour`, value for work over the usual, down to a quarter of each limit; a large req of a class is refused where four small ones go, however few large ones were answered. Ruled out: sizes over a budget (no be is cold there), time (they are refused at once).

Change: a vhost learns the work beyond which three tenths of its reqs lie, and the answered share of all and of those; while that of the large is under 0.9 of it they meet limits as the mean req. No list of sizes or classes.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -31,6 +31,7 @@
 CUT = 0.7  # what a limit is cut to when too many answers come late; half would overshoot, as news lag behind
 TOLERATED = 0.2  # part of late answers that a limit bears: what an ordinary spread of sizes and speeds leaves
 GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target bears half the pace
+FAIR = 0.9  # a vhost's largest reqs meet limits as the mean one does while they get less of its answers
 FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
 DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
 PARTING = 2000  # span after a client's input has ended in which its reqs may still go out: it may read on
@@ -53,6 +54,18 @@
         # mean sending times, until one is seen what a target must leave room for; usual: without late answers
         self.work = self.usual = self.target / 2
         self.asked = False  # has one come?
+        self.answered = self.answered_large = 1.0  # shares of late: of all, and of the largest three tenths
+        self.large = 0.0  # the work beyond which a req is one of those
+
+    def met(self, work: float) -> None:
+        """A req of so much work has come."""
+        self.large += LEARN * self.work * (0.7 if work > self.large else -0.3)
+
+    def told(self, work: float, answered: bool) -> None:
+        """One has its final answer."""
+        self.answered += LEARN * (answered - self.answered)
+        if work > self.large:
+            self.answered_large += LEARN * (answered - self.answered_large)
 
     def aim(self, work: float) -> int:
         """The span within which an answer earns the full value."""
@@ -176,6 +189,7 @@
             return self.give_up(req)  # at once, and that of less value first: all it has is late else
         if not vhost.asked:
             vhost.asked, vhost.work = True, req.kbytes / self.pace or vhost.work
+            vhost.large = vhost.work
         req.units = req.kbytes or 1.0
         self.unit += LEARN * (req.units - self.unit) if self.unit else req.units
         self.value += LEARN * (vhost.value - self.value)
@@ -195,6 +209,7 @@
             req.obj.seen += 1
         req.work = req.kbytes / self.pace or (req.obj.work if req.obj else 0.0) or vhost.usual
         self.work += LEARN * (req.work - self.work)
+        vhost.met(req.work)
         self._walk(req)
 
     def flowing(self, req: Req, seq: int) -> None:
@@ -211,6 +226,8 @@
         if req.renew and outcome in UNSPENT and req.obj.marked == req.sent:
             req.obj.marked = None  # no cache renews for it: the next one may
         self._blame(req, be, source, outcome, took, note, trial)
+        if outcome == "done" and not req.closed:
+            self.vhosts[req.vhost].told(req.work, True)
         req.closed = req.closed or final
         if req.closed:
             return
@@ -426,6 +443,8 @@
         fill = not look and (be is source or not self._held(req, be))
         way = None if not fill else source.way if held_only else self.link
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
+        if req.work > vhost.large and vhost.answered_large < FAIR * vhost.answered:
+            favour = max(favour, 1.0)
         if (be.crowd > max(1.0, GENEROUS * favour) * turn(req, be)
                 or not be.way.open(favour, now) or (way and not way.open(favour, now))):
             return False
@@ -508,6 +527,7 @@
         if req.closed:
             return
         vhost = self.vhosts[req.vhost]
+        vhost.told(req.work, False)
         req.closed = True
         ran = req.out or req.first_ran is not None
         if req.out and self.can_cancel:
