--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -215,6 +215,9 @@
             self.counts["turned_away"] += 1
             sock.close()
             return
+        parting = list(self.parting)  # the longest ago first; each keeps its descriptor until it has gone
+        for client in parting[: max(0, len(self.clients) + len(parting) + 1 - self.most)]:
+            client.cut()
         client = Client(self, sock)
         self.clients[client] = None
         try:
