Six processes ask a silent change log again over a tenth of the silence, not within 4 ms

Seen: six gateways n0 to n5 before one change log that falls silent came back within 4 ms of each other. Line at fault: Feed._drawn took the first bits of a check sum over name and turn, and names that differ in one figure have the same first bits (0.08 to 0.12 for n0 to n9). Multiplied by an odd constant they spread (0.01 to 0.98). Ruled out: their start (0.1 s apart) and the log (one beat to all).

Also tested: threads and descriptors of a real process are as many as before once 48 clients and all caches' connections ended in every way at once.

--- a/lilacloft/net/feed.py
+++ b/lilacloft/net/feed.py
@@ -24,6 +24,7 @@
 PURGES = {3: struct.Struct(">QQ"), 4: struct.Struct(">HQ")}
 LARGEST = RECORD.size << 16  # cells are told in two bytes: no list is longer than that
 BEAT = 1.0  # seconds between two frames at most
+SPREADS = 0x9E3779B1  # odd, and near the golden part of 2**32
 SLOWEST = 100_000  # bytes a second that a long frame must come at
 SILENCE = 2 * BEAT  # a live log is never silent for so long; what it withholds is soon held against us
 STATUS = {"active": 1, "leaving": 2, "left": 0}
@@ -179,5 +180,7 @@
                         self.told(event, number)
 
     def _drawn(self) -> float:
-        """By name and turn, 0 to 1: what all gateways see at once they do not all answer at once."""
-        return zlib.crc32(f"{self.name} {self.connects}".encode()) / 2**32
+        """By name and turn, 0 to 1: what all gateways see at once they do not all answer at once. Names that
+        differ in their last figure alone have check sums whose first bits are the same; multiplied they
+        have not."""
+        return zlib.crc32(f"{self.name} {self.connects}".encode()) * SPREADS % 2**32 / 2**32
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -3,11 +3,15 @@
 The gateway of most of these is an Owner in this process, so that its threads can be held at an instant; those
 about signals start the program."""
 
+import itertools
+import json
 import os
 import queue
 import signal
 import socket
 import struct
+import subprocess
+import sys
 import threading
 import time
 
@@ -25,7 +29,7 @@
 from lilacloft.net.resp import encode
 from lilacloft.settings import settings
 from lilacloft.state import Be
-from rigs.stands import ENV, Asker, Log, Stand, World, framed, record, serves, silent
+from rigs.stands import ENV, Asker, Log, Stand, World, framed, record, serves, silent, unused
 
 CLIP = b"x" * 200_000
 ASKED = b"ref=%016x,allow=3000,lookup=%016x,nth=0,batch=7,room=400"
@@ -775,6 +779,8 @@
 def test_gateways_that_all_see_silence_do_not_all_come_back_at_once():
     spans = {Feed(("127.0.0.1", 1), 0, lambda *_: None, f"n{number}")._drawn() for number in range(200)}
     assert len(spans) == 200 and min(spans) < 0.05 and max(spans) > 0.95
+    drawn = [Feed(("127.0.0.1", 1), 0, lambda *_: None, f"n{number}")._drawn() for number in range(10)]
+    assert max(drawn) - min(drawn) > 0.5, "also of ten whose names differ in one figure: it had been 0.04"
 
 
 # --- caches' ends, and the list ---
@@ -1088,3 +1094,62 @@
     for asker in held:
         asker.sock.close()
     world.rests(but=("checks",))
+
+
+# --- what processes hold, and several of them ---
+
+
+def counted(pid):
+    """Threads and descriptors of a process."""
+    return len(os.listdir(f"/proc/{pid}/task")), len(os.listdir(f"/proc/{pid}/fd"))
+
+
+def test_threads_and_descriptors_are_given_back_however_clients_and_caches_end(world):
+    """Of a real process: as many as before, once all connections have ended in every way at once."""
+    world = world(silent, serves(CLIP))
+    pid, turn = world.process.pid, [forgets, closes, halves, resets]
+    before = counted(pid)
+    askers = [world.asker() for _ in range(48)]
+    for number, asker in enumerate(askers):
+        asker.ask(key=number, allow=3000)
+        if number % 8 == 7:
+            asker.sock.sendall(b"*3\r\n$4\r\nEX")  # half a message behind it
+    until(lambda: waits_for(world.caches[0], 0.1))
+    for number, asker in enumerate(askers):
+        turn[number % 4](asker)
+    for asker in askers:
+        asker.sock.close()
+
+    def all_back():
+        for cache in world.caches:  # also what was made for second attempts, and would rest for long
+            cache.break_off()
+        return counted(pid) == before
+
+    until(all_back, 5, lambda: (counted(pid), before))
+    code, told = world.stop()
+    assert code == 0 and "held: \n" in told and "faults=" not in told
+
+
+def test_processes_that_all_see_the_change_log_fall_silent_ask_again_one_after_the_other(world, tmp_path):
+    """Six gateways, one change log: silent for all from one moment on, its connections open."""
+    first = world()
+    others = []
+    for number in range(1, 6):
+        path = tmp_path / f"{number}.json"
+        path.write_text(json.dumps({**first.config, "name": f"n{number}", "listen": f"127.0.0.1:{unused()}"}))
+        words = [sys.executable, "-m", "lilacloft", "serve", "--config", str(path)]
+        others.append(subprocess.Popen(words, stderr=subprocess.DEVNULL))
+    try:
+        for _ in others:
+            first.log.since.get(timeout=10)
+        first.log.add(0, 0, b"")  # a beat to all, and no more
+        came = []
+        for _ in range(6):
+            first.log.since.get(timeout=5)
+            came.append(time.monotonic())
+        assert came[-1] - came[0] > 0.05, "by their names, over a tenth of the silence"
+        assert max(later - one for one, later in itertools.pairwise(came)) < 0.25
+    finally:
+        for one in others:
+            one.kill()
+            one.wait()
