Who stands still within a message gets its answers whole before its end

It goes through Client.retire now: nothing unwritten, nothing open, by halves if it ever brought a req. Who does not read at all is CHOKED as before. Test on real sockets fails without (2 of 8 answers came).

Router.listed keeps those that started anew in a dict: with thousands listed a list was looked through for each.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -152,13 +152,13 @@
         """Discovery tells of caches, parents and the origin."""
         if mode == "failed":
             return self.host.wake(self.host.now() + SWEEP, "subscribe") if self.subscribes else None
-        anew: list[Be] = []
+        anew: dict[Be, None] = {}
         for be in self.known:
             be.status = be.status if mode == "delta" else 0
         for be, be.zone, be.kind, be.cell, be.status, size, started in entries:
             be.size = size if size > 0 else 1.0
             if started > be.started:
-                anew.append(be)
+                anew[be] = None
                 be.started, be.suspect, be.strikes, be.backoff, be.crowd = started, False, 0, 0, 0.0
             if self.across or be.zone == self.zone or be.kind in (self.parent_kind, self.origin_kind):
                 self.known.append(be)
--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -56,12 +56,15 @@
             self.taken += 1
             return True
 
-    def retire(self, how: int = socket.SHUT_WR) -> bool:
-        """End it by us, where nothing is owed: no req is open, none lies unread, and all has gone out. Under
-        the lock that a req is taken under, so that none is half taken."""
+    def retire(self, how: int = socket.SHUT_WR, halfway: bool = False) -> bool:
+        """End it by us, where nothing is owed: no req is open, none lies unread, and all has gone out; who
+        stands still within a message is owed nothing for that. Under the lock that a req is taken under, so
+        that none is half taken."""
         with self.lock:
-            idle = not (self.open or self.taken > self.settled or self.waits() or self.buffer.partial())
-            if self.state is not State.OPEN or not idle or self.unread():
+            owed = self.open or self.taken > self.settled or self.waits()
+            if not halfway:
+                owed = owed or self.buffer.partial() or self.unread()
+            if self.state is not State.OPEN or owed:
                 return False
             self._finish(End.RETIRED, how)
             return True
@@ -241,9 +244,9 @@
             closed += self._let_go(client, socket.SHUT_WR if client.taken else socket.SHUT_RDWR)
         return closed > 0
 
-    def _let_go(self, client: Client, how: int = socket.SHUT_WR) -> bool:
+    def _let_go(self, client: Client, how: int = socket.SHUT_WR, halfway: bool = False) -> bool:
         """Close a connection, if nothing is owed there: our half of it, or all at once."""
-        if not client.retire(how):
+        if not client.retire(how, halfway):
             return False
         if how == socket.SHUT_WR:
             self.parts(client)
@@ -339,11 +342,8 @@
             still = now - (client.begun if halfway else client.used)
             if client.end is None and not client.open and still > (
                     OWED - 2 * every if halfway else IDLE + every):
-                if halfway:  # it is owed an end now, whatever it is about to bring
-                    self.counts["closed_idle"] += 1
-                    client.close(End.RETIRED)
-                else:
-                    self._let_go(client)
+                # who stands still halfway is owed an end now, whatever it is about to bring; and its answers
+                self._let_go(client, socket.SHUT_WR if client.taken else socket.SHUT_RDWR, halfway)
         for client, since in list(self.parting.items()):
             if now - since > PARTING:
                 client.cut()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -405,6 +405,29 @@
     world.rests(but=("checks",))
 
 
+def test_who_stands_still_within_a_message_gets_its_answers_whole_before_its_end(here):
+    """It reads slowly and has begun another message: it was closed over what had not gone out."""
+    world = here(serves(b"x" * 240_000))
+    asker = Asker(world.port)
+    asker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    tags = [asker.ask(key=number, allow=3000) for number in range(8)]
+    client = next(iter(world.owner.front.clients))
+    until(lambda: client.settled == 8)
+    asker.sock.sendall(b"*5\r\n$4\r\nEX")
+    until(lambda: client.buffer.partial())
+    assert client.waits() > 0
+    client.begun -= 60  # seconds ago
+    world.does(world.owner.sweep)
+    answers = [asker.answer() for _ in tags]
+    assert {answer[0] for answer in answers} == set(tags)
+    assert all(answer[1] == b"200" and len(answer[3]) == 240_000 for answer in answers)
+    until(lambda: not client.waits())
+    world.does(world.owner.sweep)
+    assert asker.answer() is None, "in order, once all has gone out"
+    asker.sock.close()
+    world.rests(but=("checks",))
+
+
 def unread(client):
     with client.lock:
         return client.unread()
