--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -31,7 +31,8 @@
 CUT = 0.7  # what a limit is cut to when too many answers come late; half would overshoot, as news lag behind
 TOLERATED = 0.2  # part of late answers that a limit bears: what an ordinary spread of sizes and speeds leaves
 GENEROUS = 2.0  # a limit starts at this multiple of what runs at full pace: a target bears half the pace
-FAIR = 0.9  # a vhost's largest reqs meet limits as the mean one does while they get less of its answers
+FAIR = 0.9  # a vhost's largest reqs are favoured nearly as the mean one while they get less of its answers
+EASED = 0.8  # so nearly: alike, a few of them crowd out too much where most of the work is theirs
 FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
 DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
 PARTING = 2000  # span after a client's input has ended in which its reqs may still go out: it may read on
@@ -444,7 +445,7 @@
         way = None if not fill else source.way if held_only else self.link
         favour = min(max(vhost.value / req.work * self.work / (self.value or 1.0), 1 / FAVOUR), FAVOUR)
         if req.work > vhost.large and vhost.answered_large < FAIR * vhost.answered:
-            favour = max(favour, 1.0)
+            favour = max(favour, EASED)
         if (be.crowd > max(1.0, GENEROUS * favour) * turn(req, be)
                 or not be.way.open(favour, now) or (way and not way.open(favour, now))):
             return False
--- a/rigs/gate.py
+++ b/rigs/gate.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 from lilacloft.config.reader import parse
-from lilacloft.decide import FAIR, FAVOUR, GENEROUS, TRIES, Router, turn
+from lilacloft.decide import EASED, FAIR, FAVOUR, GENEROUS, TRIES, Router, turn
 from lilacloft.emulator import faults as language
 from lilacloft.emulator.fleet import START, Fleet
 from lilacloft.emulator.worlds import SECOND, WORLDS, World
@@ -52,8 +52,8 @@
     fill = not look and (be is source or not router._held(req, be))
     way = None if not fill else source.way if held_only else router.link
     favour = min(max(vhost.value / req.work * router.work / (router.value or 1.0), 1 / FAVOUR), FAVOUR)
-    if favour < 1 and req.work > vhost.large and vhost.answered_large < FAIR * vhost.answered:
-        favour = 1.0
+    if req.work > vhost.large and vhost.answered_large < FAIR * vhost.answered:
+        favour = max(favour, EASED)
     if be.crowd > max(1.0, GENEROUS * favour) * turn(req, be):
         return "crowd"
     if not be.way.open(favour, now):
