Fixtures that make worlds and close them are one piece of code

tests/test_ends.py had it twice and tests/test_gateway.py once: rigs.stands.made. No assertion is touched, nothing under lilacloft/.

--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -328,3 +328,16 @@
         for stand in [*self.caches, self.parent, self.origin, self.log]:
             stand.break_off()
             stand.close()
+
+
+def made(kind, folder):
+    """For a fixture: yields a function that makes worlds of a kind, and closes them all at the end."""
+    worlds = []
+
+    def make(*caches, **more):
+        worlds.append(kind(folder, caches or (None,), **more))
+        return worlds[-1]
+
+    yield make
+    for one in worlds:
+        one.close()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -29,7 +29,7 @@
 from lilacloft.net.resp import encode
 from lilacloft.settings import settings
 from lilacloft.state import Be
-from rigs.stands import ENV, Asker, Log, Stand, World, framed, record, serves, silent, unused
+from rigs.stands import ENV, Asker, Log, Stand, World, framed, made, record, serves, silent, unused
 
 CLIP = b"x" * 200_000
 ASKED = b"ref=%016x,allow=3000,lookup=%016x,nth=0,batch=7,room=400"
@@ -81,28 +81,12 @@
 
 @pytest.fixture
 def here(tmp_path):
-    worlds = []
-
-    def make(*caches, **more):
-        worlds.append(Here(tmp_path, caches or (None,), **more))
-        return worlds[-1]
-
-    yield make
-    for one in worlds:
-        one.close()
+    yield from made(Here, tmp_path)
 
 
 @pytest.fixture
 def world(tmp_path):
-    worlds = []
-
-    def make(*caches, **more):
-        worlds.append(World(tmp_path, caches or (None,), **more))
-        return worlds[-1]
-
-    yield make
-    for one in worlds:
-        one.close()
+    yield from made(World, tmp_path)
 
 
 def limits(**more):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,22 +20,14 @@
 from lilacloft.net.resp import Buffer, fields
 from lilacloft.settings import settings
 from lilacloft.state import Be
-from rigs.stands import ENV, Asker, Log, Stand, World, encode, record, serves
+from rigs.stands import ENV, Asker, Log, Stand, World, encode, made, record, serves
 
 CLIP = b"x" * 200_000
 
 
 @pytest.fixture
 def world(tmp_path):
-    worlds = []
-
-    def make(*caches, **more):
-        worlds.append(World(tmp_path, caches or (None,), **more))
-        return worlds[-1]
-
-    yield make
-    for one in worlds:
-        one.close()
+    yield from made(World, tmp_path)
 
 
 def silent(stand, sock, items):
