--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,39 @@
-"""The suite's own plugin: what KNOWN-RED.txt lists."""
+"""The suite's own plugin: what KNOWN-RED.txt lists. And the worlds that several files of tests make."""
+
+import threading
+
+import pytest
+
+from lilacloft.net.conn import Conn
+from rigs.inprocess import InProcessWorld
+from rigs.stands import World, made
 
 pytest_plugins = ["rigs.red"]
+
+
+@pytest.fixture
+def in_process(tmp_path):
+    """Makes worlds whose gateway is in this process."""
+    yield from made(InProcessWorld, tmp_path)
+
+
+@pytest.fixture
+def world(tmp_path):
+    """Makes worlds whose gateway is a process of its own."""
+    yield from made(World, tmp_path)
+
+
+@pytest.fixture
+def late(monkeypatch):
+    """Connections to caches come up when the test says so."""
+    comes, begun, connect = threading.Event(), threading.Semaphore(0), Conn._connect
+
+    def held(self):
+        begun.release()
+        assert comes.wait(10)
+        connect(self)
+
+    monkeypatch.setattr(Conn, "_connect", held)
+    comes.begun = begun
+    yield comes
+    comes.set()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -29,205 +29,13 @@
 from lilacloft.net.resp import encode
 from lilacloft.settings import settings
 from lilacloft.state import Be
-from rigs.stands import ENV, Asker, Log, Stand, World, framed, made, record, serves, silent, unused
+from rigs.inprocess import InProcessWorld, closes, forgets, halves, limits, resets, until, waits_for
+from rigs.stands import ENV, Asker, Log, Stand, World, framed, record, serves, silent, unused
 
 CLIP = b"x" * 200_000
 ASKED = b"ref=%016x,allow=3000,lookup=%016x,nth=0,batch=7,room=400"
 
 
-class Here(World):
-    """A world whose gateway is an Owner in a thread of this process."""
-
-    def start(self):
-        self.owner = Owner({**self.config, "listen": "127.0.0.1:0"})
-        self.port = self.owner.front.sock.getsockname()[1]
-        self.thread = threading.Thread(target=self.owner.run, daemon=True)
-        self.thread.start()
-        self.log.since.get(timeout=5)
-
-    def does(self, what):
-        """The result of something done in the owner's thread, after all that was posted before."""
-        told = queue.SimpleQueue()
-        self.owner.post(lambda: told.put(what()))
-        return told.get(timeout=5)
-
-    def held(self):
-        return self.does(self.owner.held)
-
-    def stall(self):
-        """Hold the owner's thread; returns the event that lets it go on."""
-        in_it, go = threading.Event(), threading.Event()
-        self.owner.post(lambda: (in_it.set(), go.wait(10)))
-        assert in_it.wait(5)
-        return go
-
-    def rests(self, wait=5.0, but=("clients", "checks")):
-        """Until nothing is open, counted or held any more; who stays connected is no such thing."""
-        until(lambda: not any(many for name, many in self.held().items() if name not in but), wait,
-              lambda: self.held())
-
-    def close(self):
-        self.owner.post(setattr, self.owner, "gone", True)
-        self.thread.join(5)
-        self.owner.feed.move(("127.0.0.1", 1))  # its thread lives on, and its port is another test's soon
-        for client in [*self.owner.front.clients, *self.owner.front.parting]:
-            client.close(End.RETIRED)
-        self.owner.front.shut_door()
-        self.owner.front.sock.close()
-        for stand in [*self.caches, self.parent, self.origin, self.log]:
-            stand.break_off()
-            stand.close()
-
-
-@pytest.fixture
-def here(tmp_path):
-    yield from made(Here, tmp_path)
-
-
-@pytest.fixture
-def world(tmp_path):
-    yield from made(World, tmp_path)
-
-
-def limits(**more):
-    return lambda settings: settings["limits"].update(more)
-
-
-def until(holds, wait=5.0, what=lambda: ""):
-    """Until something holds; an error where it does not within seconds."""
-    end = time.monotonic() + wait
-    while not holds():
-        assert time.monotonic() < end, f"not in time: {what()}"
-        time.sleep(0.002)
-
-
-@pytest.fixture
-def late(monkeypatch):
-    """Connections to caches come up when the test says so."""
-    comes, begun, connect = threading.Event(), threading.Semaphore(0), Conn._connect
-
-    def held(self):
-        begun.release()
-        assert comes.wait(10)
-        connect(self)
-
-    monkeypatch.setattr(Conn, "_connect", held)
-    comes.begun = begun
-    yield comes
-    comes.set()
-
-
-def forgets(asker):
-    for tag in range(1, asker.tag + 1):
-        asker.send(b"FORGET", b"%d" % tag)
-
-
-def closes(asker):
-    asker.sock.close()
-
-
-def halves(asker):
-    asker.sock.shutdown(socket.SHUT_WR)
-
-
-def resets(asker):
-    asker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    asker.sock.close()
-
-
-# --- a client leaves while its req waits ---
-
-
-@pytest.mark.parametrize("leaves", [forgets, closes, halves, resets])
-@pytest.mark.parametrize("many", [1, 8])
-@pytest.mark.parametrize("cancel", [True, False])
-def test_what_waits_for_a_connection_is_not_sent_on_for_who_has_left(here, late, leaves, many, cancel):
-    """Within 0.3 s; its place and limits are given back by then. A closed half tells no more than a close
-    does, so what waits is denied to both, and who reads on hears of it. Where the settings let no dispatch be
-    cancelled, one that has not gone out is taken back all the same: no cache has it."""
-    world = here(silent, changes=limits(cancel=cancel, connectTimeoutNs=10**10))
-    askers = [world.asker() for _ in range(many)]
-    for number, asker in enumerate(askers):
-        asker.ask(key=number, room=4)
-    assert late.begun.acquire(timeout=5)
-    until(lambda: world.held()["calls"] == many)
-    left = time.monotonic()
-    for asker in askers:
-        leaves(asker)
-    world.rests(0.3 - (time.monotonic() - left))
-    if leaves is halves:
-        assert {asker.answer()[1] for asker in askers} == {b"503"}
-    late.set()
-    other = world.asker()
-    other.ask(key=99)
-    assert world.caches[0].next()[2][2].find(b"thing=%016x" % 99) > 0, "the first that comes through"
-    forgets(other)
-    world.rests()
-
-
-def test_a_closed_half_leaves_time_to_what_is_about_to_go_out(here, late):
-    """A client that sends its req and closes its half at once is answered."""
-    world = here(serves(CLIP))
-    asker = world.asker()
-    tag = asker.ask()
-    halves(asker)
-    until(lambda: any(client.state is State.HALF_CLOSED for client in list(world.owner.front.clients)))
-    late.set()
-    assert asker.answer() == [tag, b"200", b"", CLIP] and asker.answer() is None
-    world.rests(but=("checks",))
-
-
-def test_after_a_closed_half_nothing_goes_out_anew(here):
-    """What was out is lost after the grace: no second attempt for who may have left."""
-    world = here(silent, silent)
-    asker = world.asker()
-    tag = asker.ask(allow=3000)
-    at = time.monotonic()
-    world_cache = next(cache for cache in world.caches if waits_for(cache))
-    halves(asker)
-    until(lambda: time.monotonic() > at + 0.35)  # the grace is over
-    world_cache.break_off()  # a reset, which is otherwise asked again
-    assert asker.answer()[:2] == [tag, b"503"] and asker.answer() is None
-    assert not any(waits_for(cache, 0.05) for cache in world.caches)
-    world.rests(but=("checks",))
-
-
-def waits_for(cache, wait=1.0):
-    try:
-        return cache.next(wait=wait)
-    except queue.Empty:
-        return None
-
-
-def test_a_req_forgotten_before_the_owner_came_to_it_is_not_sent_on(here):
-    world = here(silent)
-    asker, go = world.asker(), world.stall()
-    asker.ask(key=1)
-    forgets(asker)
-    until(lambda: world.owner.front.counts["forgotten"])
-    go.set()
-    world.rests()
-    asker.ask(key=2)
-    assert world.caches[0].next()[2][2].find(b"thing=%016x" % 2) > 0
-    forgets(asker)
-    world.rests()
-
-
-def test_what_others_joined_goes_on_when_one_of_them_leaves(here):
-    """Only the dispatch of who left is undone."""
-    world = here(silent)
-    first, second = world.asker(), world.asker()
-    first.ask(key=5)
-    _, sock, items = world.caches[0].next()
-    tag = second.ask(key=5)
-    _, other, more = world.caches[0].next()
-    resets(first)
-    assert world.caches[0].next(b"undo")[2][1] == items[1]
-    other.sendall(encode(more[1], b"data", b"remark=TCP_JOIN", b"bytes"))
-    assert second.answer() == [tag, b"200", b"", b"bytes"]
-    world.rests()
-
-
 # --- what was let go, and has not gone out when that holds no more ---
 
 
@@ -238,9 +46,9 @@
 
 
 @pytest.mark.parametrize("drains", ["cache", "source"])
-def test_what_waits_for_a_connection_is_not_sent_to_or_through_who_drains_by_then(here, late, drains):
+def test_what_waits_for_a_connection_is_not_sent_to_or_through_who_drains_by_then(in_process, late, drains):
     """A send counts from its first byte: the grace of a drain may be over when the connection comes up."""
-    world = here(serves(b"ok"), serves(b"ok"), changes=limits(connectTimeoutNs=10**10))
+    world = in_process(serves(b"ok"), serves(b"ok"), changes=limits(connectTimeoutNs=10**10))
     asker = world.asker()
     tag = asker.ask(allow=3000)
     assert late.begun.acquire(timeout=5)
@@ -264,9 +72,9 @@
 
 
 @pytest.mark.parametrize("kind", [3, 4])
-def test_what_waits_for_a_connection_when_a_purge_is_told_takes_no_copy_older_than_that(here, late, kind):
+def test_what_waits_for_a_connection_when_a_purge_is_told_takes_no_copy_older(in_process, late, kind):
     """The oldest copy that will do is reckoned as a dispatch is made, and was stale when it went out."""
-    world = here(serves(b"ok"), changes=limits(connectTimeoutNs=10**10))
+    world = in_process(serves(b"ok"), changes=limits(connectTimeoutNs=10**10))
     asker = world.asker()
     tag = asker.ask(key=5, allow=3000)
     assert late.begun.acquire(timeout=5)
@@ -281,13 +89,13 @@
     world.rests()
 
 
-def test_a_second_attempt_does_not_wait_for_its_connection_past_the_window(here, late):
+def test_a_second_attempt_does_not_wait_for_its_connection_past_the_window(in_process, late):
     """The first may have run; past its window the key is forgotten, and the effect would come twice."""
     def changes(settings):
         settings["limits"]["connectTimeoutNs"] = 10**10
         settings["classes"][1]["repeatWindowNs"] = 400 * 10**6
 
-    world = here(silent, silent, changes=changes)
+    world = in_process(silent, silent, changes=changes)
     late.set()
     asker = world.asker()
     at = time.monotonic()
@@ -306,9 +114,9 @@
 # --- a close by us ---
 
 
-def test_a_req_that_crosses_our_close_is_never_half_taken(here, monkeypatch):
+def test_a_req_that_crosses_our_close_is_never_half_taken(in_process, monkeypatch):
     """Read after the close: not sent on, and its name is free for the try that comes again elsewhere."""
-    world, admit = here(silent), Client.admit
+    world, admit = in_process(silent), Client.admit
 
     def crossed(self, call):
         assert self.front._let_go(self)
@@ -333,10 +141,10 @@
 LONG = limits(connectTimeoutNs=5 * 10**9, keepaliveNs=10**9)
 
 
-def test_a_long_connect_time_out_closes_no_client_that_has_just_come(here):
+def test_a_long_connect_time_out_closes_no_client_that_has_just_come(in_process):
     """The time-out is the settings'; it had been the span between two looks at clients as well, and what they
     are owed, less two such spans, was below nothing: who had not brought a req yet was closed at once."""
-    world = here(serves(b"ok"), changes=LONG)
+    world = in_process(serves(b"ok"), changes=LONG)
     asker = world.asker()
     until(lambda: world.owner.front.counts["connections"])
     world.does(world.owner.sweep)
@@ -345,9 +153,9 @@
     assert world.owner.front.counts["closed_idle"] == 0
 
 
-def test_a_long_connect_time_out_takes_no_time_from_what_is_out_at_the_signal(here):
+def test_a_long_connect_time_out_takes_no_time_from_what_is_out_at_the_signal(in_process):
     """All was given up at once there: the last moment was reckoned a connect time-out before the kill."""
-    world = here(silent, changes=LONG)
+    world = in_process(silent, changes=LONG)
     asker = world.asker()
     tag = asker.ask(allow=3000)
     _, sock, items = world.caches[0].next()
@@ -358,14 +166,14 @@
     assert asker.answer() == [tag, b"200", b"", b"bytes"]
 
 
-def test_an_idle_connection_is_closed_before_the_cache_would_also_after_a_long_connect_time_out(here):
-    assert here(silent, changes=LONG).owner.back.idle <= 10_000 / 2
+def test_an_idle_connection_is_closed_before_the_cache_would_also_after_a_long_connect_time_out(in_process):
+    assert in_process(silent, changes=LONG).owner.back.idle <= 10_000 / 2
 
 
 @pytest.mark.parametrize("how", [socket.SHUT_WR, socket.SHUT_RDWR])
-def test_a_connection_with_something_unread_or_open_is_not_closed_as_idle(here, monkeypatch, how):
+def test_a_connection_with_something_unread_or_open_is_not_closed_as_idle(in_process, monkeypatch, how):
     """A close over unread bytes is a reset, and a req in the kernel's buffer would be lost with it."""
-    world, takes, go, in_it = here(serves(b"ok")), Front.takes, threading.Event(), threading.Event()
+    world, takes, go, in_it = in_process(serves(b"ok")), Front.takes, threading.Event(), threading.Event()
 
     def held(self, client, items):
         if items[0] == b"ALIVE":
@@ -389,9 +197,9 @@
     world.rests(but=("checks",))
 
 
-def test_who_stands_still_within_a_message_gets_its_answers_whole_before_its_end(here):
+def test_who_stands_still_within_a_message_gets_its_answers_whole_before_its_end(in_process):
     """It reads slowly and has begun another message: it was closed over what had not gone out."""
-    world = here(serves(b"x" * 240_000))
+    world = in_process(serves(b"x" * 240_000))
     asker = Asker(world.port)
     asker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
     tags = [asker.ask(key=number, allow=3000) for number in range(8)]
@@ -418,9 +226,9 @@
         return client.unread()
 
 
-def test_answers_before_the_end_of_who_writes_nonsense_arrive_whole_and_are_no_reset(here):
+def test_answers_before_the_end_of_who_writes_nonsense_arrive_whole_and_are_no_reset(in_process):
     """It sends on at full speed: a close over what was not read would take the answers along."""
-    world = here(silent)
+    world = in_process(silent)
     asker = world.asker()
     tags = {asker.ask(key=number, allow=3000) for number in range(8)}
     for _ in tags:
@@ -432,8 +240,8 @@
     world.rests(but=("checks",))
 
 
-def test_who_does_not_close_after_our_end_is_cut_off(here):
-    world = here(serves(b"ok"))
+def test_who_does_not_close_after_our_end_is_cut_off(in_process):
+    world = in_process(serves(b"ok"))
     asker = world.asker()
     asker.ask()
     assert asker.answer()[1] == b"200"
@@ -444,7 +252,7 @@
     asker.sock.close()
 
 
-def test_no_small_write_is_ever_held_back(here, monkeypatch):
+def test_no_small_write_is_ever_held_back(in_process, monkeypatch):
     """Each first byte, to clients and caches, goes out with TCP_NODELAY set."""
     plain, sends = [], Conn._try
 
@@ -453,7 +261,7 @@
         return sends(self, rest, place)
 
     monkeypatch.setattr(Conn, "_try", seen)
-    asker = here(serves(b"ok")).asker()
+    asker = in_process(serves(b"ok")).asker()
     asker.ask()
     assert asker.answer()[1] == b"200"
     assert {kind for kind, _ in plain} == {Client, Line} and all(set_ for _, set_ in plain)
@@ -474,9 +282,9 @@
     until(lambda: world.owner.time > world.owner.ending + 3000)
 
 
-def test_what_was_not_read_when_clients_come_no_more_is_read_and_answered(here, monkeypatch, soon):
+def test_what_was_not_read_when_clients_come_no_more_is_read_and_answered(in_process, monkeypatch, soon):
     """A whole req in the kernel's buffer, which its reading thread has not come to."""
-    world, takes, go, in_it = here(serves(b"ok")), Front.takes, threading.Event(), threading.Event()
+    world, takes, go, in_it = in_process(serves(b"ok")), Front.takes, threading.Event(), threading.Event()
 
     def held(self, client, items):
         if items[0] == b"ALIVE":
@@ -501,9 +309,9 @@
     assert not world.thread.is_alive() and not any(world.owner.held().values())
 
 
-def test_who_waits_at_the_door_when_the_process_is_told_to_end_is_let_in(here, monkeypatch, soon):
+def test_who_waits_at_the_door_when_the_process_is_told_to_end_is_let_in(in_process, monkeypatch, soon):
     """A connection in the accept queue, with its req behind it."""
-    world, take, go, in_it = here(serves(b"ok")), Front._take, threading.Event(), threading.Event()
+    world, take, go, in_it = in_process(serves(b"ok")), Front._take, threading.Event(), threading.Event()
 
     def held(self, sock):
         in_it.set()
@@ -528,8 +336,8 @@
     assert not world.thread.is_alive()
 
 
-def test_who_rests_is_told_the_end_and_what_it_sends_after_is_not_sent_on(here, soon):
-    world = here(serves(b"ok"))
+def test_who_rests_is_told_the_end_and_what_it_sends_after_is_not_sent_on(in_process, soon):
+    world = in_process(serves(b"ok"))
     resting, other = world.asker(), world.asker()
     tag = resting.ask()
     assert resting.answer()[:2] == [tag, b"200"]
@@ -545,8 +353,8 @@
         world.asker()
 
 
-def test_half_a_message_at_the_signal_is_read_to_its_end(here, soon):
-    world = here(serves(b"ok"))
+def test_half_a_message_at_the_signal_is_read_to_its_end(in_process, soon):
+    world = in_process(serves(b"ok"))
     asker = world.asker()
     told = encode(b"EXEC", b"1", b"clip", ASKED % (7, 7), b"")
     asker.sock.sendall(told[:30])
@@ -560,7 +368,7 @@
     assert not world.thread.is_alive()
 
 
-def test_reqs_in_every_state_at_the_signal_have_one_answer_each(here, late, soon):
+def test_reqs_in_every_state_at_the_signal_have_one_answer_each(in_process, late, soon):
     """Read but not taken by the owner, waiting for a connection, out, and being written back."""
     gate = threading.Event()
 
@@ -571,7 +379,7 @@
                 assert gate.wait(5)
             sock.sendall(encode(items[1], b"data", b"remark=TCP_HIT", CLIP))
 
-    world = here(says)
+    world = in_process(says)
     late.set()
     writes = Asker(world.port)
     writes.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -676,8 +484,8 @@
 
 
 @pytest.mark.parametrize("first", ["left", "answered"])
-def test_an_answer_in_the_instant_of_the_clients_leaving_ends_once(here, first):
-    world = here(silent)
+def test_an_answer_in_the_instant_of_the_clients_leaving_ends_once(in_process, first):
+    world = in_process(silent)
     asker = world.asker()
     asker.ask(key=1)
     _, sock, items = world.caches[0].next()
@@ -704,9 +512,9 @@
     world.rests()
 
 
-def test_an_answer_in_the_instant_of_its_time_out_ends_the_req_once(here):
+def test_an_answer_in_the_instant_of_its_time_out_ends_the_req_once(in_process):
     """It was read before the owner came to the time-out, so it counts, and its undo is not sent."""
-    world = here(silent)
+    world = in_process(silent)
     asker = world.asker()
     tag = asker.ask(key=1, allow=300)
     _, sock, items = world.caches[0].next()
@@ -727,7 +535,7 @@
         return None
 
 
-def test_a_cache_that_ends_a_resting_connection_as_a_req_is_written_to_it(here):
+def test_a_cache_that_ends_a_resting_connection_as_a_req_is_written_to_it(in_process):
     """It may have run: it is asked again on a new connection, and answered once."""
     def says(stand, sock, items):
         if items[0] == b"do":
@@ -740,7 +548,7 @@
                 sock.sendall(encode(items[1], b"data", b"remark=TCP_HIT", b"bytes"))
 
     turns = []
-    world = here(says)
+    world = in_process(says)
     asker = world.asker()
     for key in (1, 2):
         tag = asker.ask(key=key)
@@ -794,9 +602,9 @@
 # --- caches' ends, and the list ---
 
 
-def test_an_answer_in_the_instant_of_its_caches_drain_is_passed_on_and_its_connection_given_back(here):
+def test_an_answer_in_the_instant_of_its_caches_drain_is_passed_on_and_its_connection_given_back(in_process):
     """Both lie in the owner's queue: the drain first. What is out there ends there; nothing new goes."""
-    world = here(silent, silent)
+    world = in_process(silent, silent)
     asker = world.asker()
     tag = asker.ask(key=1)
     place = next(number for number, cache in enumerate(world.caches, 1) if waits_for(cache))
@@ -818,10 +626,10 @@
 
 
 @pytest.mark.parametrize("whole", [True, False])
-def test_an_answer_in_the_instant_of_its_connections_end(here, whole):
+def test_an_answer_in_the_instant_of_its_connections_end(in_process, whole):
     """The answer and the end are read before the owner comes to either: a whole one counts, half a one does
     not pass for one, and its req goes out again on another connection."""
-    world = here(silent)
+    world = in_process(silent)
     asker = world.asker()
     tag = asker.ask(key=1)
     _, sock, items = world.caches[0].next()
@@ -839,7 +647,7 @@
     assert sum(waits_for(world.caches[0], 0.05) is not None for _ in range(2)) == 0, "and no more than that"
 
 
-def test_an_answer_that_drips_in_is_given_up_in_time_and_its_connection_takes_nothing_more(here):
+def test_an_answer_that_drips_in_is_given_up_in_time_and_its_connection_takes_nothing_more(in_process):
     """It never stands still, and would hardly end: its time ends it, and what drips on is no answer."""
     over = threading.Event()
 
@@ -860,7 +668,7 @@
         threading.Thread(target=on, daemon=True).start()
         return None
 
-    world = here(drips)
+    world = in_process(drips)
     asker = world.asker()
     begun = time.monotonic()
     tag = asker.ask(key=1, allow=600)
@@ -876,7 +684,7 @@
 
 @pytest.mark.parametrize("vhost, again", [(b"clip", True), (b"pay", True), (b"once", False)])
 @pytest.mark.parametrize("when", ["accepted", "begun", "read", "long after"])
-def test_a_reset_before_while_and_after_a_req_is_written(here, vhost, again, when):
+def test_a_reset_before_while_and_after_a_req_is_written(in_process, vhost, again, when):
     """What may have run goes out again only where that does no harm, and what surely did not always may. One
     that was taken in and reset is answered once, whatever became of it."""
     def takes(stand, sock, items):
@@ -902,7 +710,7 @@
             settings["familyInfo"][name].append(value)
 
     turns, held = [], []
-    world = here(takes, changes=changes)
+    world = in_process(takes, changes=changes)
     if when in ("accepted", "begun"):  # the first connection is broken under what is written to it
         server, stand = socket.create_server(("127.0.0.1", 0)), world.caches[0]
         world.log.add(2, 2, record(1, server.getsockname()[1]))
@@ -959,7 +767,7 @@
         world.close()
 
 
-class Unheard(Here):
+class Unheard(InProcessWorld):
     """Its change log is down at the start."""
 
     def start(self):
@@ -989,9 +797,9 @@
 # --- floods and limits ---
 
 
-def test_room_is_made_by_closing_who_rests_in_order_and_nobody_who_is_owed_anything(here):
+def test_room_is_made_by_closing_who_rests_in_order_and_nobody_who_is_owed_anything(in_process):
     """At the limit of clients: one is out, one is just taken, one was answered and rests."""
-    world = here(silent)
+    world = in_process(silent)
     asker, crossing, answered = (world.asker() for _ in range(3))
     tag = answered.ask(key=1)
     _, sock, items = world.caches[0].next()
@@ -1021,9 +829,9 @@
     world.rests()
 
 
-def test_no_thread_and_no_descriptor_for_one_connection_ends_that_one_alone(here, monkeypatch):
+def test_no_thread_and_no_descriptor_for_one_connection_ends_that_one_alone(in_process, monkeypatch):
     """A client is closed unserved, a cache's connection is not made; both pass, and nothing stays held."""
-    world, start, refused = here(serves(b"ok")), Conn.start, []
+    world, start, refused = in_process(serves(b"ok")), Conn.start, []
 
     def starts(self):
         if not refused:
@@ -1054,8 +862,8 @@
 
 
 @pytest.mark.parametrize("leaves", [closes, resets])
-def test_who_floods_and_leaves_at_once_leaves_nothing_behind_and_others_are_served(here, leaves):
-    world = here(serves(b"ok"))
+def test_who_floods_and_leaves_at_once_leaves_nothing_behind_and_others_are_served(in_process, leaves):
+    world = in_process(serves(b"ok"))
     other = world.asker()
     for _ in range(8):
         flood = world.asker()
@@ -1116,11 +924,11 @@
         return
 
 
-def test_whom_we_told_our_end_count_among_the_clients_that_descriptors_are_there_for(here, monkeypatch):
+def test_whom_we_told_our_end_count_among_the_clients_that_descriptors_are_there_for(in_process, monkeypatch):
     """They keep theirs until they close as well, and may not: the longest ago are cut off for who comes."""
     monkeypatch.setattr(fronts, "PARTING", 60.0)
     monkeypatch.setattr(conns, "PARTING", 60.0)
-    world = here(serves(b"ok"))
+    world = in_process(serves(b"ok"))
     front = world.owner.front
     front.most = 4
     held = []
