No attempt begins 0.1 s after its client has gone, whichever thread sends it and whatever it has heard

Need: the operators' term in force since 2 December, 0.1 s from a close or a cancel; the tests had held 0.3 s.

At fault: decide.py, PARTING = 2000 (0.2 s after the end of input was read); owner.py, half_closed and forgotten, which wait in the queue behind a request or an attempt's end, so that a busy owner sends on; conn.py, _connect and _write, which send a backlog in their own thread, whatever the owner knows; front.py, rest(), which reads nothing while answers wait, so that an end, a reset or a cancel lies in the kernel; guard.py, release, and carry.py, start, which send what waited for the disk or the handover. Ruled out: limits, slow starts and links hold nothing back.

Change: Client.departed tells since when a client may have gone, from the kernel (POLLRDHUP, TCP_INFO), without reading.

--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -35,7 +35,7 @@
 EASED = 0.8  # so nearly: alike, a few of them crowd out too much where most of the work is theirs
 FAVOUR = 4.0  # a req far above (below) the usual value for its work meets limits so many times as wide
 DOUBT = 0.01  # symptoms in a row make a be suspect once, at the late rate seen, they are rarer than this
-PARTING = 2000  # span after a client's input has ended in which its reqs may still go out: it may read on
+GONE_GRACE = 500  # span in which an attempt may begin for who has perhaps gone: it may read on
 LAG = 0.5  # part of its target that a req may lie unread here: beyond, there is more than can be done
 SWEEP = 5000  # span of the periodic work
 RAN = ("error", "timeout", "reset", "spoilt", "cancelled")  # outcomes after which a dispatch may have run
@@ -103,6 +103,12 @@
     return 0.5 + zlib.crc32(f"{req.key} {req.part} {be.name}".encode()) / 2**32
 
 
+def last_send(gone: int) -> int:
+    """The time from which on no attempt may begin for a client that may have gone at a time. Without state:
+    any thread may ask, of times by any clock."""
+    return gone + GONE_GRACE
+
+
 def sized(req: Req) -> bool:
     """Is its sending time known? Else a long answer may be but a large one."""
     return bool(req.kbytes or req.obj is None or req.obj.work)
@@ -254,7 +260,7 @@
     def half_closed(self, req: Req, at: int) -> int:
         """Its client's input ended at a time: it may read on or have left, and nobody can tell before
         something is written to it. What is out is answered; nothing goes out later than the returned time."""
-        req.send_by = min(req.send_by or math.inf, at + PARTING)
+        req.send_by = min(req.send_by or math.inf, last_send(at))
         return req.send_by
 
     def send_by_passed(self, req: Req) -> None:
@@ -344,9 +350,9 @@
 
     def _walk(self, req: Req) -> None:
         """Send a req to the first in hash order that may take it; end it at once where none may."""
-        vhost, now = self.vhosts[req.vhost], self.host.now()
+        vhost, now, gone = self.vhosts[req.vhost], self.host.now(), self.host.departed(req)
         if (req.tries >= min(TRIES, self.max_dispatches) or now >= req.until - self.tick
-                or (req.send_by and now >= req.send_by)):
+                or (req.send_by and now >= req.send_by) or (gone is not None and now >= last_send(gone))):
             return self.give_up(req)
         passed = vhost.uncacheable or req.write
         place = f"{req.key} {req.part}"  # by part for both: all of one hot object would weigh on one parent
--- a/lilacloft/drill/wire.py
+++ b/lilacloft/drill/wire.py
@@ -84,6 +84,9 @@
             ["fetchThrough", self.ids[req], be.name, limit * NS, source.name, rank, age * NS, bits]
         )
 
+    def departed(self, req: Req) -> int | None:
+        """The simulator tells of it at once."""
+
     def cancel(self, req: Req, seq: int) -> None:
         self.actions.append(["undoSend", self.ids[req], seq])
 
--- a/lilacloft/emulator/gateway.py
+++ b/lilacloft/emulator/gateway.py
@@ -199,6 +199,9 @@
         fleet.sending(dispatch, number, source)
         fleet.events.at(now + limit, TIMER, self.time_up, dispatch)
 
+    def departed(self, req: Req) -> int | None:
+        """Who leaves is told of at once."""
+
     def cancel(self, req: Req, seq: int) -> None:
         dispatch = self.out.get((req, seq))
         if dispatch is not None and not dispatch.over:
--- a/lilacloft/host.py
+++ b/lilacloft/host.py
@@ -20,6 +20,10 @@
               join: bool, held_only: bool, no_trace: bool, renew: bool) -> None:
         """Dispatch a req to a be: who fills a miss, the rank it is kept at, the oldest copy that will do."""
 
+    def departed(self, req: Req) -> int | None:
+        """Since when nobody may wait for a req any more, as far as can be known without writing to its
+        client: its input has ended, it is cancelled, or what may say so lies unread. None: it waits."""
+
     def cancel(self, req: Req, seq: int) -> None:
         """Stop waiting on a dispatch, counted from 0 within its req."""
 
--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from lilacloft.decide import last_send
 from lilacloft.net.conn import Conn, End
 from lilacloft.net.resp import GarbledError, encode, fields
 from lilacloft.settings import NS, TENTHS
@@ -50,12 +51,27 @@
 class Sent:
     """A dispatch or a check that is out."""
 
-    __slots__ = ("call", "be", "seq", "name", "conn", "data", "place", "at")
+    __slots__ = ("call", "be", "seq", "name", "conn", "data", "place", "at", "send_by", "lapsed")
 
-    def __init__(self, call: Any, be: Be, seq: int, name: bytes, data: bytes, at: int) -> None:
+    def __init__(
+        self, call: Any, be: Be, seq: int, name: bytes, data: bytes, at: int, send_by: int = 0
+    ) -> None:
+        """`send_by`: the time by the steady clock from which on it may not begin, whatever waits; 0: none."""
         self.call, self.be, self.seq, self.name, self.data, self.at = call, be, seq, name, data, at
         self.conn: Line | None = None  # none: it has ended
         self.place = 0
+        self.send_by = send_by
+        self.lapsed = False  # dropped from its connection's backlog, as it had expired before its first byte
+
+    def expired(self) -> bool:
+        """May it not begin any more: is its time over, or may its client have gone? Any thread may ask."""
+        if self.call is None:
+            return False
+        now = time.monotonic_ns() // NS
+        if self.send_by and now >= self.send_by:
+            return True
+        gone = self.call.departed()
+        return gone is not None and now >= last_send(gone)
 
 
 class Line(Conn):
@@ -70,6 +86,16 @@
         self.made = 0
         self.shunned = False  # takes no new ones
 
+    def expired(self, place: int, size: int) -> bool:
+        """The owner hears of what is dropped."""
+        for sent in list(self.out.values()):
+            if sent.place == place and len(sent.data) == size:
+                sent.lapsed = sent.expired()
+                if sent.lapsed:
+                    self.pool.back.post(self.pool.back.unsent, sent)
+                return sent.lapsed
+        return False
+
 
 class Pool:
     """The connections to one be in one of its lives at one address."""
@@ -196,13 +222,18 @@
     def take_back(self, sent: Sent) -> bool:
         """Take back a dispatch that has not begun to go out, and so never ran; False where it has."""
         line = sent.conn
-        if line is None or not line.withdraw(sent.place, len(sent.data)):
+        if line is None or not (line.withdraw(sent.place, len(sent.data)) or sent.lapsed):
             return False
         self._off(line, sent)
         if sent.call and line in sent.call.lines:
             sent.call.lines.remove(line)  # it never carried this req
         return True
 
+    def unsent(self, sent: Sent) -> None:
+        """A dispatch has lapsed in the backlog of its connection."""
+        if self.take_back(sent):
+            self.ended(sent, End.UNWRITTEN, 0, 0, [], b"")
+
     def give_up(self, sent: Sent) -> int:
         """Nobody waits for it any more: it must be given up before anything else goes out for its req. Tells
         from when on something may: what goes out on two connections may be read in either order, and what
@@ -292,7 +323,7 @@
         for sent in out.values():  # first of all: a report may call back others that were out here
             sent.conn = None
         for sent in out.values():
-            written = line.went(sent.place)
+            written = line.went(sent.place) and not sent.lapsed
             end = line.end or End.FAULT
             if end in (End.CLOSED, End.RESET) and line.buffer.partial():
                 end = End.GARBLED  # cut off within an answer, and nothing more of it will come
--- a/lilacloft/net/conn.py
+++ b/lilacloft/net/conn.py
@@ -11,6 +11,7 @@
 import contextlib
 import select
 import socket
+import struct
 import threading
 import time
 from collections import deque
@@ -23,6 +24,18 @@
 
 PARTING = 0.5  # seconds in which what still comes after our close is passed over, so that it is no reset
 PASSED_OVER = 1 << 20  # and bytes
+TCP_INFO_SIZE = 104  # bytes of `struct tcp_info` that every kernel of ours fills
+LAST_DATA_RECEIVED = struct.Struct("@52xI")  # its `tcpi_last_data_recv`, in milliseconds
+
+
+def since_last_data(sock: socket.socket) -> float:
+    """Seconds since the last byte came in, as the kernel has it; 0.0 where it does not tell."""
+    try:
+        return LAST_DATA_RECEIVED.unpack_from(
+            sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        )[0] / 1000
+    except (OSError, struct.error):
+        return 0.0
 
 
 class State(Enum):
@@ -176,6 +189,23 @@
         self.reached = place - len(rest) + count
         return rest[count:]
 
+    def _flush(self) -> None:
+        """Send of the backlog what the socket takes at once; called under the lock."""
+        while self.backlog and self.end is None:
+            place, rest = self.backlog.popleft()
+            if self.expired(place, len(rest)):
+                self.written += len(rest)  # as if withdrawn
+                continue
+            rest = self._try(rest, place)
+            if rest:
+                self.backlog.appendleft((place, rest))
+                return
+
+    def expired(self, place: int, size: int) -> bool:
+        """Is a message not to be begun any more, that ends at a place in the stream, and has so many bytes
+        left? Asked under the lock, by whichever thread is about to send."""
+        return False
+
     def _write_on(self) -> None:
         if self.state is not State.CONNECTING and self.backlog and not self.writing and self.end is None:
             self.writing = True
@@ -202,11 +232,7 @@
                 poll.register(self.sock, select.POLLOUT)
                 poll.poll()  # outside the lock; what is sent is sent under it, so that it can be held still
                 with self.lock:
-                    if self.backlog and self.end is None:
-                        place, rest = self.backlog.popleft()
-                        rest = self._try(rest, place)
-                        if rest:
-                            self.backlog.appendleft((place, rest))
+                    self._flush()
             except Exception:
                 logger.exception("a connection's writing thread failed")
                 self.close(End.FAULT)
@@ -229,11 +255,13 @@
         """Bytes that have not gone out."""
         return self.queued - self.written
 
-    def hold_back(self, most: int) -> None:
-        """Stop reading while the other side does not read either."""
+    def held_back(self, most: int, span: float) -> bool:
+        """Wait until no more than so many bytes wait to go out, for some seconds at most; tells whether more
+        still do."""
         with self.lock:
-            while self.waits() > most and self.end is None:
-                self.drained.wait()
+            if self.waits() > most and self.end is None:
+                self.drained.wait(span)
+            return self.waits() > most and self.end is None
 
     # --- ending ---
 
@@ -317,12 +345,7 @@
         self.sock.settimeout(None)
         with self.lock:
             self._to(State.OPEN)
-            while self.backlog and self.end is None:
-                place, rest = self.backlog.popleft()
-                rest = self._try(rest, place)
-                if rest:
-                    self.backlog.appendleft((place, rest))
-                    break
+            self._flush()
             self._write_on()
         return None
 
--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -17,9 +17,9 @@
 
 from loguru import logger
 
-from lilacloft.net.conn import PARTING, Conn, End, State
+from lilacloft.net.conn import PARTING, Conn, End, State, since_last_data
 from lilacloft.net.resp import FROM_CLIENT, LARGEST, SMALL, GarbledError, encode, fields, listed
-from lilacloft.settings import NS
+from lilacloft.settings import NS, TENTHS
 
 OWED = 3.0  # seconds in which a client that brings nothing usable is owed an end, by the protocol
 IDLE = 4.0  # seconds after which clients close idle ones themselves
@@ -40,9 +40,57 @@
         self.open: dict[bytes, Call] = {}  # by tag: the reader adds, the owner takes away
         self.used = time.monotonic()  # when it last brought a message, or was answered
         self.moved = (0, self.used)  # how much had gone out, and since when no more
+        self.input_ended: int | None = None  # since when at the latest, by the steady clock
+        self.unread_since = (0.0, 0)  # when it was last read from, and since when something lies unread since
 
     def rest(self) -> None:
-        self.hold_back(LARGEST)
+        """Stop reading while the other side does not read either, and look whether it has gone meanwhile."""
+        told = False
+        while self.held_back(LARGEST, LOOK):
+            self.departed()
+            if self.input_ended is not None and not told:
+                told = True  # what waits is given up at once, not when all before its end has been read
+                self.front.post(self.front.owner.half_closed, self, self.input_ended)
+
+    def departed(self) -> int | None:
+        """Since when, by the steady clock, the client may have gone: 0 where it surely has; None where it is
+        there and all that it sent is read. Any thread may ask.
+
+        The kernel knows of an end of input before anybody has read up to it, but not since when; it came no
+        earlier than the last byte. What lies unread may be a cancel, and has done so since it was first seen
+        there, or since the last byte came."""
+        if self.end is not None:
+            return 0
+        if self.input_ended is not None:
+            return self.input_ended
+        seen = self._look()
+        if self.end is not None or seen & (select.POLLERR | select.POLLHUP | select.POLLNVAL):
+            return 0
+        if not seen:
+            return None
+        since = self._last_byte()
+        if seen & select.POLLRDHUP:
+            self.input_ended = since
+        else:
+            came, before = self.unread_since
+            if came == self.came:  # nothing was read meanwhile
+                since = min(since, before)
+            self.unread_since = (self.came, since)
+        return since
+
+    def _last_byte(self) -> int:
+        """When the last byte came in, by the steady clock: now, where the kernel does not tell."""
+        return time.monotonic_ns() // NS - int(since_last_data(self.sock) * TENTHS)
+
+    def _look(self) -> int:
+        """What the kernel has to tell of its input, and of a break."""
+        watch = select.poll()
+        try:
+            watch.register(self.sock, select.POLLIN | select.POLLRDHUP)
+        except ValueError:
+            return select.POLLNVAL  # given back
+        found = watch.poll(0)
+        return found[0][1] if found else 0
 
     def admit(self, call: Call) -> bool:
         """Take a req and its name, unless the connection has its end: that one crossed our close, and its
@@ -72,13 +120,15 @@
     def linger(self, end: End) -> None:
         """The other side may have closed only its half; or what came is nonsense: then what is open is given
         up at once, and what can be written in good time is."""
-        owner, at = self.front.owner, time.monotonic_ns() // NS
+        owner = self.front.owner
+        if end is End.CLOSED and self.input_ended is None:
+            self.input_ended = self._last_byte()
         if self.end is None and (self.taken > self.settled or self.waits()):
             seen, until = threading.Event(), time.monotonic() + OWED / 2
             if end is End.GARBLED:
                 self.front.post(owner.garbled, self)
             else:
-                self.front.post(owner.half_closed, self, at)
+                self.front.post(owner.half_closed, self, self.input_ended)
             self.front.post(seen.set)  # until the owner has come to all that was read
             seen.wait()
             poll = select.poll()
@@ -122,6 +172,11 @@
         "lines",
     ]
 
+    def departed(self) -> int | None:
+        """Since when, by the steady clock, nobody may wait for it: 0 where it is settled or cancelled,
+        None where its client is there. Any thread may ask."""
+        return self.client.departed() if self.client.open.get(self.tag) is self else 0
+
     def __init__(
         self, client: Client, tag: bytes, vhost: int, told: dict[str, str], body: bytes, at: int
     ) -> None:
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -469,6 +469,14 @@
     def now(self) -> int:
         return self.time
 
+    def departed(self, req: Req) -> int | None:
+        gone = self.calls[req].departed()
+        return None if gone is None else gone + self.time - self.steady
+
+    def steadily(self, at: int) -> int:
+        """A time of the module's by the steady clock; none (0) stays none."""
+        return at and at - self.time + self.steady
+
     def look(self, req: Req, be: Be, limit: int) -> None:
         self._dispatch(req, be, limit, None, 0, 0, [])
 
@@ -511,7 +519,8 @@
             )
         )
         name = call.name.encode()
-        sent = Sent(call, be, req.tries - 1, name, encode(b"do", name, told, call.body), self.time)
+        data = encode(b"do", name, told, call.body)
+        sent = Sent(call, be, req.tries - 1, name, data, self.time, self.steadily(req.send_by))
         call.sent = sent
         if self.recorder:
             self.recorder.sent(call, be, source)
--- a/lilacloft/store/guard.py
+++ b/lilacloft/store/guard.py
@@ -291,7 +291,8 @@
 
     def release(self, token: str) -> None:
         sent, until = self.held.pop(token)
-        if sent.call.sent is not sent or sent.call.req.closed or self.owner.time >= until:
+        over = sent.call.sent is not sent or sent.call.req.closed or self.owner.time >= until
+        if over or sent.expired():
             return self._unsent(sent)
         sent.at = self.owner.time  # that it waited for the disk is no fault of its cache
         # the loop lets the times of what is not on a connection go: this one may be gone already
--- a/lilacloft/upgrade/carry.py
+++ b/lilacloft/upgrade/carry.py
@@ -250,7 +250,8 @@
     def _sent(self, told: form.Sent, calls: list[Call], carried: list[Line]) -> None:
         owner = self.owner
         call = None if told.call is None else calls[told.call]
-        sent = Sent(call, owner.bes[told.be], told.seq, told.name, told.data, told.at)
+        send_by = owner.steadily(call.req.send_by) if call else 0
+        sent = Sent(call, owner.bes[told.be], told.seq, told.name, told.data, told.at, send_by)
         sent.place = told.place
         if call:
             call.sent = sent
@@ -279,6 +280,11 @@
                           if call.sent and call.sent not in self.again)
         for sent in self.again:
             sent.at = self.owner.time
-            end = guard.dispatch(sent, sent.call.req.until) if guard else self.owner.back.dispatch(sent)
+            if sent.expired():
+                end: End | None = End.UNWRITTEN
+            elif guard:
+                end = guard.dispatch(sent, sent.call.req.until)
+            else:
+                end = self.owner.back.dispatch(sent)
             if end is not None:
                 self.owner.after.append((self.owner.back_ended, sent, end, 0, 0, [], b""))
--- a/rigs/model.py
+++ b/rigs/model.py
@@ -6,6 +6,7 @@
 from lilacloft.state import Be, Req
 
 SEC = 10_000
+GONE = SEC // 10  # after its client has gone no attempt may begin any more
 
 
 def vhost(effect="replayable", **more):
@@ -39,6 +40,7 @@
         self.beliefs = []
         self.wakes, self.wrong, self.sends, self.finals = [], [], [], []
         self.history, self.purges, self.listed, self.asked, self.withdrawn = {}, [], {}, [], []
+        self.gone = {}  # since when the clients of reqs may have gone, as the host knows it
         self.caches = [Be(f"c{n}") for n in range(caches)]
         self.parents = [Be(f"p{n}") for n in range(parents)]
         self.origin = Be("origin")
@@ -103,6 +105,8 @@
         self.must(not any(call is req for call, _ in self.finals), "sent after the end")
         self.must(all(entry[4] for entry in past), "two out at once")
         self.must(len(past) < self.config["limits"]["max_dispatches"], "too many dispatches")
+        gone = self.gone.get(req)
+        self.must(gone is None or self.time - gone <= GONE, "begun for who has left")
         self.must(limit > 0 and self.time + limit <= req.until, "time-out past the client's")
         config = self.config["vhosts"][req.vhost]
         ran = [entry for entry in past if entry[4] not in ("full", "unreached", "unsent", "miss")]
@@ -152,6 +156,9 @@
             part = math.ceil(part / work) * work
         return sent <= part
 
+    def departed(self, req):
+        return self.gone.get(req)
+
     def cancel(self, req, seq):
         self.must(self.config["limits"]["cancel"], "cancelled where none may be")
         self.asked.append(req)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,24 +1,54 @@
 """Clients that leave while something of theirs waits, on real sockets, the crossing forced each time."""
 
+import os
+import queue
+import socket
+import threading
 import time
 
 import pytest
 
-from lilacloft.net.conn import State
-from lilacloft.net.resp import encode
+from lilacloft import decide
+from lilacloft.net.conn import Conn, End, State
+from lilacloft.net.owner import Owner
+from lilacloft.net.resp import LARGEST, encode
+from lilacloft.settings import TENTHS
+from lilacloft.store.guard import Guard
+from lilacloft.upgrade import carry
+from lilacloft.upgrade.rest import Rest
 from rigs.inprocess import closes, forgets, halves, limits, resets, until, waits_for
-from rigs.stands import serves, silent
+from rigs.stands import Asker, serves, silent
 
 CLIP = b"x" * 200_000
+GONE = 0.1  # seconds after its client has gone from which on no attempt may begin, by the operators' terms
+WAYS = [forgets, closes, halves, resets]
 
 
-@pytest.mark.parametrize("leaves", [forgets, closes, halves, resets])
+def past(when):
+    """Until a time of the monotonic clock has come."""
+    until(lambda: time.monotonic() >= when)
+
+
+def asked_first(world):
+    """The cache that a request's first attempt has come to."""
+    return next(cache for cache in world.caches if waits_for(cache, 0.3))
+
+
+def nothing_comes(world, span=0.15):
+    """No attempt begins anywhere: not at another cache, not past the caches."""
+    time.sleep(span)
+    for stand in [*world.caches, world.parent, world.origin]:
+        while not stand.seen.empty():
+            assert stand.seen.get()[2][0] != b"do"
+
+
+@pytest.mark.parametrize("leaves", WAYS)
 @pytest.mark.parametrize("many", [1, 8])
 @pytest.mark.parametrize("cancel", [True, False])
 def test_what_waits_for_a_connection_is_not_sent_on_for_who_has_left(in_process, late, leaves, many, cancel):
-    """Within 0.3 s; its place and limits are given back by then. A closed half tells no more than a close
-    does, so what waits is denied to both, and who reads on hears of it. Where the settings let no dispatch be
-    cancelled, one that has not gone out is taken back all the same: no cache has it."""
+    """Not 0.1 s later, and within 0.3 s its place and limits are given back. A closed half tells no more than
+    a close does, so what waits is denied to both, and who reads on hears of it. Where the settings let no
+    dispatch be cancelled, one that has not gone out is taken back all the same: no cache has it."""
     world = in_process(silent, changes=limits(cancel=cancel, connectTimeoutNs=10**10))
     askers = [world.asker() for _ in range(many)]
     for number, asker in enumerate(askers):
@@ -28,10 +58,11 @@
     left = time.monotonic()
     for asker in askers:
         leaves(asker)
+    past(left + GONE)
+    late.set()
     world.rests(0.3 - (time.monotonic() - left))
     if leaves is halves:
         assert {asker.answer()[1] for asker in askers} == {b"503"}
-    late.set()
     other = world.asker()
     other.ask(key=99)
     assert world.caches[0].next()[2][2].find(b"thing=%016x" % 99) > 0, "the first that comes through"
@@ -39,8 +70,10 @@
     world.rests()
 
 
-def test_a_closed_half_leaves_time_to_what_is_about_to_go_out(in_process, late):
-    """A client that sends its req and closes its half at once is answered."""
+def test_a_closed_half_leaves_time_to_what_is_about_to_go_out(in_process, late, monkeypatch):
+    """A client that sends its req and closes its half at once is answered. The grace is long here, so that a
+    slow machine comes within it as well."""
+    monkeypatch.setattr(decide, "GONE_GRACE", 5 * TENTHS)
     world = in_process(serves(CLIP))
     asker = world.asker()
     tag = asker.ask()
@@ -56,16 +89,251 @@
     world = in_process(silent, silent)
     asker = world.asker()
     tag = asker.ask(allow=3000)
-    at = time.monotonic()
-    world_cache = next(cache for cache in world.caches if waits_for(cache))
+    cache = asked_first(world)
+    left = time.monotonic()
     halves(asker)
-    until(lambda: time.monotonic() > at + 0.35)  # the grace is over
-    world_cache.break_off()  # a reset, which is otherwise asked again
+    past(left + GONE)
+    cache.break_off()  # a reset, which is otherwise asked again
     assert asker.answer()[:2] == [tag, b"503"] and asker.answer() is None
-    assert not any(waits_for(cache, 0.05) for cache in world.caches)
+    nothing_comes(world)
     world.rests(but=("checks",))
 
 
+@pytest.mark.parametrize("leaves", WAYS)
+def test_what_the_owner_comes_to_late_is_not_sent_on_for_who_has_left(in_process, leaves):
+    """Its request lies in the owner's queue before the news of its leaving."""
+    world = in_process(silent, silent)
+    asker, go = world.asker(), world.stall()
+    tag = asker.ask(allow=3000)
+    until(lambda: world.owner.front.counts["reqs"])
+    left = time.monotonic()
+    leaves(asker)
+    past(left + GONE)
+    go.set()
+    nothing_comes(world)
+    if leaves is halves:
+        assert asker.answer()[:2] == [tag, b"503"]
+    world.rests(but=("clients", "checks"))
+
+
+@pytest.mark.parametrize("leaves", WAYS)
+def test_no_attempt_anew_where_the_owner_hears_of_its_end_before_the_leaving(in_process, leaves):
+    """The end of the first attempt lies in the owner's queue before the news of the leaving."""
+    world = in_process(silent, silent)
+    asker = world.asker()
+    tag = asker.ask(allow=3000)
+    cache, go = asked_first(world), world.stall()
+    queued = world.owner.queue.qsize()
+    cache.break_off()
+    until(lambda: world.owner.queue.qsize() > queued)
+    left = time.monotonic()
+    leaves(asker)
+    past(left + GONE)
+    go.set()
+    nothing_comes(world)
+    if leaves is halves:
+        assert asker.answer()[:2] == [tag, b"503"]
+    world.rests(but=("clients", "checks"))
+
+
+@pytest.mark.parametrize("leaves", WAYS)
+def test_a_connection_that_comes_up_while_the_owner_is_busy_carries_nothing_of_who_has_left(
+    in_process, late, leaves
+):
+    """It is the connection's thread that sends then, and the owner cannot take anything back."""
+    world = in_process(silent, changes=limits(connectTimeoutNs=10**10))
+    asker, stays = world.asker(), world.asker()
+    asker.ask(key=1, room=4, allow=3000)
+    stays.ask(key=2, room=4, allow=3000)
+    assert late.begun.acquire(timeout=5) and late.begun.acquire(timeout=5)
+    until(lambda: world.held()["out"] == 2)
+    go = world.stall()
+    left = time.monotonic()
+    leaves(asker)
+    past(left + GONE)
+    late.set()
+    assert b"thing=%016x" % 2 in world.caches[0].next()[2][2]
+    nothing_comes(world)
+    go.set()
+    forgets(stays)
+    world.rests(but=("clients", "checks"))
+
+
+def the_client(world):
+    """Its one client's connection, as the gateway has it."""
+    until(lambda: world.owner.front.clients)
+    return next(iter(world.owner.front.clients))
+
+
+def stuck_in_a_message(world, asker):
+    """Its reading thread cannot go on: it is held within a message."""
+    client, go, in_it = the_client(world), threading.Event(), threading.Event()
+    takes = client.takes
+
+    def held(client, items):
+        in_it.set()
+        assert go.wait(10)
+        takes(client, items)
+
+    client.takes = held
+    asker.send(b"ALIVE", b"99", b"")
+    assert in_it.wait(5)
+    return go.set
+
+
+def stuck_behind_answers(world, asker):
+    """Its reading thread waits, as the client does not read its answers."""
+    for number in range(8):
+        asker.ask(key=100 + number, allow=3000)
+    client = the_client(world)
+    until(lambda: client.settled == 8 and client.waits() > LARGEST)
+    asker.send(b"ALIVE", b"99", b"")  # read, and then no more
+    asker.send(b"ALIVE", b"98", b"")
+
+    def lies_unread():
+        with client.lock:
+            return client.unread()
+
+    until(lambda: world.owner.front.counts["checks"] and lies_unread())
+    return lambda: None
+
+
+def some_are_served(size):
+    """A cache that answers with so many bytes, but the first object never."""
+    serve = serves(b"x" * size)
+
+    def says(stand, sock, items):
+        if items[0] != b"do" or b"thing=%016x" % 1 not in items[2]:
+            serve(stand, sock, items)
+
+    return says
+
+
+@pytest.mark.parametrize("stuck", [stuck_in_a_message, stuck_behind_answers])
+@pytest.mark.parametrize("leaves", WAYS)
+def test_no_attempt_anew_for_who_has_left_where_the_reader_cannot_hear_of_it(in_process, leaves, stuck):
+    """Its end, its reset, or its cancel lies in the kernel, and nobody reads that."""
+    world = in_process(some_are_served(240_000), some_are_served(240_000))
+    asker = Asker(world.port)
+    asker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    asker.ask(key=1, allow=3000)
+    cache = asked_first(world)
+    goes_on = stuck(world, asker)
+    for one in world.caches:
+        while not one.seen.empty():
+            one.seen.get()
+    left = time.monotonic()
+    leaves(asker)
+    past(left + GONE)
+    cache.break_off()
+    nothing_comes(world)
+    goes_on()
+    asker.sock.close()
+    world.rests(but=("clients", "checks"))
+
+
+@pytest.mark.parametrize("leaves", WAYS)
+def test_what_waits_for_the_disk_is_not_sent_on_for_who_has_left(in_process, tmp_path, leaves):
+    """The news that its intent is down lies in the owner's queue before that of its leaving."""
+    world, down = in_process(silent), queue.SimpleQueue()
+    guard = world.does(lambda: Guard(world.owner, str(tmp_path / "store"), patience=5 * TENTHS))
+    world.does(guard.start)
+    guard.commits.tells = down.put
+    asker = world.asker()
+    tag = asker.ask(b"pay", body=b"x", allow=3000, replay="5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+    ticket, go = down.get(timeout=5), world.stall()
+    world.owner.post(guard._down, ticket)
+    left = time.monotonic()
+    leaves(asker)
+    past(left + GONE)
+    go.set()
+    nothing_comes(world)
+    if leaves is halves:
+        assert asker.answer()[:2] == [tag, b"503"]
+    world.rests(but=("clients", "checks"))
+    world.does(guard.close)
+
+
+@pytest.mark.parametrize("leaves", [closes, halves, resets])
+def test_what_went_over_to_the_next_process_waiting_is_not_sent_on_there(
+    in_process, late, leaves, monkeypatch
+):
+    """It waited for its connection at the handover; an idle one is there when the next process begins."""
+    monkeypatch.setattr(Conn, "movable", True)
+    world = in_process(silent, changes=limits(connectTimeoutNs=10**10))
+    late.set()
+    stays, goes = world.asker(), world.asker()
+    stays.ask(key=1, allow=3000)
+    _, sock, items = world.caches[0].next()
+    late.clear()
+    goes.ask(key=2, allow=3000)
+    until(lambda: world.held()["out"] == 2)
+    sock.sendall(encode(items[1], b"data", b"remark=TCP_HIT", b"ok"))
+    assert stays.answer()[1] == b"200"
+    rest = Rest(world.owner)
+    assert world.does(lambda: rest.bring(time.monotonic() + 4, lambda: True)) == ""
+    state, conns = world.does(lambda: carry.tell(world.owner, "whole", []))
+    successor = Owner({**world.config, "listen": "127.0.0.1:0"}, follows=True)
+    told = carry.Told(successor)
+    told.make(state, lambda place: socket.socket(fileno=os.dup(conns[place].sock.fileno())))
+    left = time.monotonic()
+    leaves(goes)
+    past(left + GONE)
+    told.start()
+    try:
+        nothing_comes(world)
+        assert [entry[2] for entry in successor.after] == [End.UNWRITTEN]
+    finally:
+        world.does(rest.release)
+        for conn in told.conns:
+            conn.close(End.RETIRED)
+        successor.front.sock.close()
+
+
+def test_an_attempt_anew_for_who_stays_goes_out(in_process):
+    """Else the tests above would say little."""
+    world = in_process(silent, silent)
+    asker = world.asker()
+    asker.ask(allow=3000)
+    cache, begun = asked_first(world), time.monotonic()
+    past(begun + GONE)
+    cache.break_off()
+    assert any(waits_for(one, 0.5) for one in world.caches)
+    forgets(asker)
+    world.rests()
+
+
+@pytest.mark.parametrize("leaves", WAYS)
+def test_what_waits_behind_answers_being_written_is_given_up_when_its_client_leaves(in_process, late, leaves):
+    """A pipelined client: its earlier answers have not gone out yet, and it leaves over them."""
+    cache = some_are_served(60_000)
+    world = in_process(cache, cache, changes=limits(connectTimeoutNs=10**10))
+    late.set()
+    asker = Asker(world.port)
+    asker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client, number = the_client(world), 0
+    while not client.waits():  # one by one, until something has to wait: far from where the reader stops
+        number += 1
+        asker.ask(key=100 + number, allow=3000)
+        until(lambda: client.settled == number)
+    late.clear()
+    for cache in world.caches:
+        cache.break_off()  # so that new connections are needed
+    until(lambda: not any(pool.lines for pool in world.does(lambda: list(world.owner.back.pools.values()))))
+    asker.ask(key=1, allow=3000)
+    until(lambda: world.held()["out"] == 1)
+    for cache in world.caches:
+        while not cache.seen.empty():
+            cache.seen.get()
+    left = time.monotonic()
+    leaves(asker)
+    past(left + GONE)
+    late.set()
+    nothing_comes(world)
+    asker.sock.close()
+    world.rests(but=("clients", "checks"))
+
+
 def test_a_req_forgotten_before_the_owner_came_to_it_is_not_sent_on(in_process):
     world = in_process(silent)
     asker, go = world.asker(), world.stall()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -379,7 +379,7 @@
     back = Back(post, now, print, lambda *what: told.append(what), config, 2)
     slack, patience = config["rules"]["answer_slack"], config["limits"]["connect_timeout"]
     back.place(be, server.getsockname())
-    call = types.SimpleNamespace(lines=[])
+    call = types.SimpleNamespace(lines=[], departed=lambda: None)
     first, second, third = (Sent(call, be, 0, b"%d" % n, encode(b"do", b"%d" % n), 0) for n in range(3))
     back.dispatch(first)
     peer, _ = server.accept()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -85,8 +85,10 @@
                     model.end(req, outcome, took=chance.randrange(5, 6000))
         elif doing < 0.9 and open_reqs:
             req = chance.choice(open_reqs)  # its client may have left, and nobody can tell
-            if not req.closed:
+            if not req.closed and chance.random() < 0.5:
                 model.router.half_closed(req, model.time)
+            else:
+                model.gone[req] = model.time  # known outside only, until it is asked for
         elif doing < 0.95:
             be = chance.choice(model.caches + model.parents)
             model.list("delta", [(be, chance.choice([0, 1, 1, 2]),
