Idle clients can no longer take the descriptors of discovery, cache connections and files

Seen on a process at a real limit of 64 (prlimit by its shell), 200 idle clients, discovery down and back: - 40 caches: EMFILE at accept and towards caches, 51 of 240 requests refused, all 240 asked in 6.6 s. At fault: Back.share gives each pool two connections at least, 84 for 42 pools where a third of the descriptors is 21. At fault: budgets() knew only the configuration. Ruled out: a configuration of as many as the system allows, and few caches: 49 of 64 at most on the old code as well.

Change: net/budgets.py reckons with the system's limit and keeps ten aside; Back.has_room ends the longest idle connection where all are taken; Front.holding counts clients until Conn.released.

--- a/lilacloft/net/back.py
+++ b/lilacloft/net/back.py
@@ -122,6 +122,8 @@
         broke = sent.call and sent.call.lines and sent.call.lines[-1].end is not None
         if (best and not best.out and not broke) or len(self.lines) >= self.back.share():
             return best
+        if not self.back.has_room():
+            return best
         try:
             line = Line(
                 self,
@@ -195,6 +197,17 @@
         """Connections that one pool may have."""
         return max(2, self.most // max(1, len(self.pools)))
 
+    def has_room(self) -> bool:
+        """May one more connection be made? Where there are as many as may be, the longest idle one ends for
+        it: with many caches, a pool's least share comes to more than there is for all."""
+        lines = [line for pool in self.pools.values() for line in pool.lines if line.end is None]
+        if len(lines) < self.most:
+            return True
+        idle = [line for line in lines if not line.out]
+        if idle:
+            min(idle, key=lambda line: line.used).close(End.RETIRED)
+        return bool(idle)
+
     # --- sending ---
 
     def dispatch(self, sent: Sent) -> End | None:
--- a/lilacloft/net/conn.py
+++ b/lilacloft/net/conn.py
@@ -301,6 +301,10 @@
         if not self.threads:
             self._to(State.CLOSED)
             self.sock.close()
+            self.released()
+
+    def released(self) -> None:
+        """Its descriptor is given back. Called under the lock."""
 
     def _pass_over(self) -> None:
         """After `part`: read what still comes, and take nothing of it."""
--- a/lilacloft/net/front.py
+++ b/lilacloft/net/front.py
@@ -42,6 +42,10 @@
         self.moved = (0, self.used)  # how much had gone out, and since when no more
         self.input_ended: int | None = None  # since when at the latest, by the steady clock
         self.unread_since = (0.0, 0)  # when it was last read from, and since when something lies unread since
+        front.holding[self] = None
+
+    def released(self) -> None:
+        self.front.given_back(self)
 
     def rest(self) -> None:
         """Stop reading while the other side does not read either, and look whether it has gone meanwhile."""
@@ -230,6 +234,8 @@
         self.most = most
         self.clients: dict[Client, None] = {}
         self.parting: dict[Client, float] = {}  # whom we have told our end, and since when
+        self.holding: dict[Client, None] = {}  # all whose descriptors are not given back yet
+        self.returned = threading.Condition()  # told when one is
         self.shut = False  # nobody is let in any more
         names = "connections not_taken turned_away closed_idle choked reqs unusable forgotten checks"
         self.counts = dict.fromkeys(names.split(), 0)
@@ -269,23 +275,40 @@
 
     def _take(self, sock: socket.socket) -> None:
         """Start a client's connection, if there is room for one."""
-        if len(self.clients) >= self.most and not self._make_room():
+        if not self._descriptor_free():
             self.counts["turned_away"] += 1
             sock.close()
             return
-        parting = list(self.parting)  # the longest ago first; each keeps its descriptor until it has gone
-        for client in parting[: max(0, len(self.clients) + len(parting) + 1 - self.most)]:
-            client.cut()
         client = Client(self, sock)
         self.clients[client] = None
         try:
             client.start()
         except RuntimeError:
             self.clients.pop(client, None)
+            self.given_back(client)
             sock.close()
             raise
         self.counts["connections"] += 1
 
+    def _descriptor_free(self) -> bool:
+        """Is there a descriptor for one more client, if need be after an end of others? Each that ends keeps
+        its own until its threads have left it, so that a rush could outrun them."""
+        excess = len(self.holding) + 1 - self.most
+        if excess <= 0:
+            return True
+        if len(self.clients) >= self.most and not self._make_room():
+            return False
+        for client in list(self.parting)[:excess]:  # the longest ago first
+            client.cut()
+        with self.returned:
+            return self.returned.wait_for(lambda: len(self.holding) < self.most, LOOK)
+
+    def given_back(self, client: Client) -> None:
+        """A client's descriptor is the system's again."""
+        with self.returned:
+            self.holding.pop(client, None)
+            self.returned.notify_all()
+
     def _make_room(self) -> bool:
         """Close a connection: one that has brought nothing of use first, else that idle for longest; the
         protocol lets us where no req is open."""
--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -21,6 +21,7 @@
 from lilacloft import needed
 from lilacloft.decide import Router
 from lilacloft.net.back import Back, Sent
+from lilacloft.net.budgets import budgets, descriptor_limit
 from lilacloft.net.conn import OUTCOMES, End
 from lilacloft.net.feed import Event, Feed, known
 from lilacloft.net.front import Call, Client, Front
@@ -51,13 +52,6 @@
     return host, int(port)
 
 
-def budgets(limits: dict[str, Any]) -> tuple[int, int, int]:
-    """What a gateway may hold: bytes that wait for clients, clients' connections, caches' connections.
-    Clients hold a third of the descriptors at most, and what closes counts for a while."""
-    sockets = int(limits["sockets"])
-    return int(limits["memory_mb"] * 1e6) // 4, sockets // 2, sockets // 3
-
-
 class Owner:
     """The Host of one gateway."""
 
@@ -96,11 +90,16 @@
         self.given = {name: config[name] for name in ("listen", "settings")}  # what a reload cannot change
         self.known = last = config["known"]["seq"]
         events = list(known(config["known"]["results"], self.config["zones"], self.config["kinds"]))
-        self.spare, clients, caches = budgets(config["limits"])
-        self.back = Back(self.post, self.now, self.back_ended, self.parted, self.config, caches)
+        descriptors = descriptor_limit()
+        if descriptors < self.allowed["sockets"]:
+            logger.warning("the system allows {} descriptors, the configuration {}: the lower holds",
+                           descriptors, self.allowed["sockets"])
+        self.budgets = budgets(self.allowed, descriptors)
+        self.back = Back(self.post, self.now, self.back_ended, self.parted, self.config,
+                         self.budgets.caches)
         self.every = min(self.back.patience, int(EVERY * TENTHS))  # theirs may be long
-        self.front = Front(self.post, self, address(self.listen), self.vhosts, clients, self.largest(),
-                           sock)
+        self.front = Front(self.post, self, address(self.listen), self.vhosts, self.budgets.clients,
+                           self.largest(), sock)
         self.feed = Feed(address(config["changelog"]), last, self._heard, config.get("name", ""))
         self._tick()
         self.router = Router(self, self.config)
@@ -242,12 +241,12 @@
             return
         try:
             needed.config(config)
-            place, found = address(config["changelog"]), budgets(config["limits"])
+            place, found = address(config["changelog"]), budgets(config["limits"], descriptor_limit())
             fixed = [name for name, given in self.given.items() if config[name] != given]
         except (KeyError, ValueError, TypeError, AttributeError) as wrong:
             logger.error("the old configuration stays: it cannot be used: {!r}", wrong)
             return
-        self.spare, self.front.most, self.back.most = found
+        self.budgets, self.front.most, self.back.most = found, found.clients, found.caches
         self.allowed = config["limits"]
         self.feed.move(place)
         logger.info("the configuration was read again{}", "; changed, but kept till a restart: " * bool(fixed)
@@ -262,7 +261,7 @@
         """The periodic work."""
         self.at(self.time + self.every, self.sweep)
         self.back.sweep()
-        self.front.sweep(self.longest / TENTHS, self.spare, self.every / TENTHS)
+        self.front.sweep(self.longest / TENTHS, self.budgets.unwritten, self.every / TENTHS)
 
     def report(self) -> None:
         """Print the counters."""
--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -207,8 +207,10 @@
     allow = 1500  # ms that its clients wait
 
     def __init__(self, tmp_path, caches=(None,), sockets=1024, memory_mb=192, python=(),
-                 changes=lambda settings: None):
+                 changes=lambda settings: None, descriptors=None):
+        """`descriptors`: how many the system lets the gateway have; none: as many as this process."""
         self.python, self.early = python, []  # the interpreter's options; what was written before it served
+        self.descriptors = descriptors
         self.caches = [Stand(says or serves()) for says in caches]
         self.parent, self.origin, self.log = Stand(), Stand(), Log()
         self.port = unused()
@@ -230,6 +232,8 @@
     def start(self):
         self.path.write_text(json.dumps(self.config))
         words = [sys.executable, *self.python, "-m", "lilacloft", "serve", "--config", str(self.path)]
+        if self.descriptors is not None:
+            words = ["sh", "-c", f'ulimit -n {self.descriptors}; exec "$@"', "sh", *words]
         self.process = subprocess.Popen(words, stderr=subprocess.PIPE, text=True)
         for line in self.process.stderr:
             self.early.append(line)
