--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -105,6 +105,14 @@
         self.ports = ports
         super().__init__()
 
+    def tell(self, number: int, be: Meta) -> None:
+        """An event: how a be stands now. Nothing to a party that does not reach it."""
+        if be.name in self.ports:
+            payload = bytearray(record(int(be.name[2:], 16), self.ports[be.name], STATES[be.state],
+                                       KINDS.index(be.kind), int(be.started * 1000)))
+            payload[11] = be.zone  # record() knows two locations only
+            self.add(number, 2, bytes(payload))
+
     def _serve(self, sock: Any) -> None:
         super()._serve(sock)
         with contextlib.suppress(OSError):
@@ -240,12 +248,7 @@
             self.number += 1
             self.listed(be)
             for feed in self.feeds.values():
-                if be.name in feed.ports:
-                    number = int(be.name[2:], 16)
-                    payload = bytearray(record(number, feed.ports[be.name], STATES[be.state],
-                                               KINDS.index(be.kind), int(be.started * 1000)))
-                    payload[11] = be.zone  # record() knows two locations only
-                    feed.add(self.number, 2, bytes(payload))
+                feed.tell(self.number, be)
 
     def purge(self, key: str) -> None:
         self.number += 1
--- a/rigs/load.py
+++ b/rigs/load.py
@@ -137,6 +137,7 @@
         self.account, self.timers = scene.account, scene.timers
         self.chance = scene.chance(seed)
         self.links: dict[int, list[Link]] = {gateway.port: [] for gateway in scene.gateways}
+        self.weights: list[float] = []  # of the gateways, in the order of `links`; none: all alike
         self.lock = threading.Lock()
         self.counts = dict.fromkeys(("asked", "done", "denied", "aborted", "left", "lost", "unsent"), 0)
         self.times: list[tuple[float, float, str, str]] = []  # when sent, how long it took, vhost, word
@@ -205,7 +206,8 @@
 
     def link(self, asked: Asked, fresh: bool = False, pause: float = 0.0, forget: bool = False) -> None:
         """Send a req on a connection of some gateway."""
-        port = self.chance.choice(list(self.links))
+        ports = list(self.links)
+        port = self.chance.choices(ports, self.weights)[0] if self.weights else self.chance.choice(ports)
         links = self.links[port]
         links[:] = [link for link in links if not link.over]
         asked.sent = time.time() + pause
--- a/rigs/scene.py
+++ b/rigs/scene.py
@@ -281,13 +281,19 @@
 
     def start(self, *more: str) -> None:
         """Run it, and wait until it serves."""
+        place = self.spawn(*more)
+        self.wait("serving on", place)
+        assert self.process is not None
+        self.pids.append(self.process.pid)
+
+    def spawn(self, *more: str) -> int:
+        """Run it; returns where in its log it begins to write."""
         self.config.write_text(json.dumps(self.scene.config(self)))
         self.words = [sys.executable, "-m", *self.program, "serve", "--config", str(self.config), *more]
         with self.log.open("ab") as file:
             place = file.tell()
             self.process = subprocess.Popen(self.words, stderr=file, stdin=subprocess.DEVNULL)
-        self.wait("serving on", place)
-        self.pids.append(self.process.pid)
+        return place
 
     def wait(self, text: str, place: int = 0, most: float = 20.0) -> str:
         """Until a line of its log holds a text; returns the line."""
