--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -48,7 +48,7 @@
 
 
 def test_the_measure_finds_processes_that_each_take_the_whole_budget(monkeypatch):
-    """They are told wrongly of each other: each takes itself to be the only one. The server bears less, too."""
+    """They are told wrongly of each other: each takes itself to be alone. The server bears less as well."""
     settings = Ramp.settings
 
     def alone(self, zone, slot):
