Where nothing is told of caches, a cold one gets its part of what warm ones are seen to bear

At fault: decide.py, Router._part, (capacity or 1.0): where neither weights nor links are told, a cache was one transfer of all its gateways together. Ruled out: lag, the rule's bound, learned limits or the link alone.

Over the gateways it sums to no more than such a cache has borne. Carried over an upgrade. Where weights or links are told nothing changes.

--- a/lilacloft/carried.py
+++ b/lilacloft/carried.py
@@ -15,7 +15,7 @@
 # What the next process goes on with, by record (give, take): what a rule counts, what takes long to learn.
 # The rest is told anew, found by counting the open reqs (load, reqs, trial), or starts as at a start.
 KEPT = {
-    "router": ("late", "value", "work", "unit", "arrivals", "caught_up"),
+    "router": ("late", "value", "work", "unit", "arrivals", "caught_up", "borne"),
     "vhost": ("work", "usual"), "limit": ("limit", "late", "calm", "ended", "took"),
     "be": ("crowd", "holds", "asked", "heard", "strikes", "late", "suspect", "retry_at", "backoff", "budget"),
     "obj": ("marked", "seen", "filled", "work"),
--- a/lilacloft/decide.py
+++ b/lilacloft/decide.py
@@ -144,6 +144,7 @@
         self.pushed, self.armed, self.caught_up = 0, math.inf, 0  # so far; next wake; runs late itself until
         self.asks = self.limits["probes"] and {"inflight", "util"} <= set(settings["stats"]["names"])
         self.names, self.arrivals = settings["stats"]["names"], 0
+        self.borne = 0.0  # transfers of this gateway that a warm cache of the location bears in time, learned
         self.value = self.work = self.unit = 0.0  # of a mean req: value, sending time, bytes (1 where untold)
         self.subscribes, self.late = settings["discovery"] == "subscribe", 0.1  # part of answers late or lost
         self.left_out, self.shares, self.yielded = {}, {}, False  # by a plan; another process is the gateway
@@ -302,6 +303,7 @@
             self.host.subscribe(True)
         elif token == "sweep":
             self.purges = {what: at for what, at in self.purges.items() if now - at <= self.purge_done}
+            self._learn_capacity()
             self.host.wake(now + SWEEP, "sweep")
         elif token == "due":
             self.armed = math.inf
@@ -509,7 +511,19 @@
         # twice what its link brings in, else most reqs were fills
         feed, by = (sum(self.feed) / 1.3, self.parents) if parent else (2 * self.feed[self.zone], self.caches)
         capacity = be.size if self.sizes_told else feed / self.pace / max(1, len(by))
-        return (capacity or 1.0) / (self.gateways if parent or self._elsewhere(be) else self.zone_gateways)
+        if parent or self._elsewhere(be):
+            return (capacity or 1.0) / self.gateways
+        # where nothing is told, what this gateway has seen a cache bear; of all gateways, what all have seen
+        return capacity / self.zone_gateways or max(1.0 / self.zone_gateways, self.borne)
+
+    def _learn_capacity(self) -> None:
+        """Look at what this gateway sends the location's warm caches while they answer it in time."""
+        now, back = self.host.now(), self.fall + self.tick
+        warm = [be for be in self.caches if not be.suspect and be.way.late <= TOLERATED
+                and (not be.started or now - be.started >= self.cold_cache[1])]
+        if warm:
+            sent = sum(work for be in warm for at, work in be.budget if at >= now - back)
+            self.borne += (sent / back / len(warm) - self.borne) / 8
 
     def _elsewhere(self, be: Be) -> bool:
         """Is it a cache of another location?"""
