One place reports a dispatch that was taken back or never sent, in place of nine

Owner.report_end; Owner._take_back reports what it took back, and Guard and the handover call the same.

--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -341,13 +341,24 @@
         if call.req.closed:
             return
         if sent is not None and self._take_back(sent):
-            self.after.append((self.back_ended, sent, End.UNWRITTEN, 0, 0, [], b""))
-        elif sent is None or sent.conn is None:
+            return
+        if sent is None or sent.conn is None:
             self.router.send_by_passed(call.req)
 
     def _take_back(self, sent: Sent) -> bool:
-        """Take back a dispatch that has not gone out; False where it may have."""
-        return bool(self.guard and self.guard.drop(sent)) or self.back.take_back(sent)
+        """Take back a dispatch that has not gone out, and report it; False where it may have."""
+        taken = self._drop_held(sent) or self.back.take_back(sent)
+        if taken:
+            self.report_end(sent, End.UNWRITTEN)
+        return taken
+
+    def _drop_held(self, sent: Sent) -> bool:
+        """Take back a dispatch that waits for the disk; False where it does not."""
+        return bool(self.guard and self.guard.drop(sent))
+
+    def report_end(self, sent: Sent, end: End) -> None:
+        """A dispatch or a check that brought no answer is over: the module hears of it after its call."""
+        self.after.append((self.back_ended, sent, end, 0, 0, [], b""))
 
     def hung_up(self, client: Client) -> None:
         for call in list(client.open.values()):
@@ -418,8 +429,8 @@
             return
         if call.sent is None:
             self.calls.pop(call.req, None)
-        elif self._take_back(call.sent):
-            self.after.append((self.back_ended, call.sent, End.UNWRITTEN, 0, 0, [], b""))
+        else:
+            self._take_back(call.sent)
 
     # --- what the change log brings ---
 
@@ -526,7 +537,7 @@
         until = min(self.time + limit, req.until)
         end = self.guard.dispatch(sent, until) if self.guard else self.back.dispatch(sent)
         if end is not None:
-            self.after.append((self.back_ended, sent, end, 0, 0, [], b""))
+            self.report_end(sent, end)
         else:
             self.at(until, self._time_up, sent)
             if req.send_by:
@@ -537,16 +548,16 @@
         sent = call.sent if call else None
         if sent is None or sent.seq != seq:
             return
-        if self.guard and self.guard.drop(sent):
-            self.after.append((self.back_ended, sent, End.UNWRITTEN, 0, 0, [], b""))
+        if self._drop_held(sent):
+            self.report_end(sent, End.UNWRITTEN)
         elif sent.conn is not None:
             self.after.append((self.parted, sent, End.CALLED_OFF, self.back.give_up(sent)))
 
     def withdraw(self, req: Req, seq: int) -> None:
         call = self.calls.get(req)
         sent = call.sent if call else None
-        if sent is not None and sent.seq == seq and self._take_back(sent):
-            self.after.append((self.back_ended, sent, End.UNWRITTEN, 0, 0, [], b""))
+        if sent is not None and sent.seq == seq:
+            self._take_back(sent)
 
     def deny(self, req: Req, after: int) -> None:
         call = self.calls[req]
@@ -567,7 +578,7 @@
     def check(self, be: Be) -> None:
         sent, end = self.back.check(be)
         if end is not None:
-            self.after.append((self.back_ended, sent, end, 0, 0, [], b""))
+            self.report_end(sent, end)
         else:
             self.at(self.time + self.back.patience, self._time_up, sent)
 
--- a/lilacloft/store/guard.py
+++ b/lilacloft/store/guard.py
@@ -148,14 +148,14 @@
         again, self.again = self.again, []
         for sent in again:
             if sent.call.client in self.owner.front.clients:
-                self._unsent(sent)
+                self.owner.report_end(sent, End.UNWRITTEN)
 
     def go_on(self, wrote: bool) -> None:
         """This process is the gateway after all; the other one may have written meanwhile."""
         self.relay = None
         again, self.again = self.again, []
         for sent in again:
-            self._unsent(sent)
+            self.owner.report_end(sent, End.UNWRITTEN)
         over, self.over = self.over, []
         if wrote:
             self.keeper.lost(over)
@@ -293,19 +293,16 @@
         sent, until = self.held.pop(token)
         over = sent.call.sent is not sent or sent.call.req.closed or self.owner.time >= until
         if over or sent.expired():
-            return self._unsent(sent)
+            return self.owner.report_end(sent, End.UNWRITTEN)
         sent.at = self.owner.time  # that it waited for the disk is no fault of its cache
         # the loop lets the times of what is not on a connection go: this one may be gone already
         self.owner.at(until, self.owner._time_up, sent)
         end = self.owner.back.dispatch(sent)
         if end is not None:
-            self.owner.after.append((self.owner.back_ended, sent, end, 0, 0, [], b""))
+            self.owner.report_end(sent, end)
         return None
 
     def refuse(self, token: str) -> None:
         sent, _ = self.held.pop(token)
         self.knows(sent.call, sent.call.req)  # the same: else it would be denied, as if it had never run
-        self._unsent(sent)
-
-    def _unsent(self, sent: Sent) -> None:
-        self.owner.after.append((self.owner.back_ended, sent, End.UNWRITTEN, 0, 0, [], b""))
+        self.owner.report_end(sent, End.UNWRITTEN)
--- a/lilacloft/upgrade/carry.py
+++ b/lilacloft/upgrade/carry.py
@@ -287,4 +287,4 @@
             else:
                 end = self.owner.back.dispatch(sent)
             if end is not None:
-                self.owner.after.append((self.owner.back_ended, sent, end, 0, 0, [], b""))
+                self.owner.report_end(sent, end)
