How long a client has been gone is reckoned by the clock, not by the time of the owner's turn

Seen in reading: Owner.departed told it in the module's time, which stands still while one event is taken in (a list of thousands of rows: some tens of milliseconds); the grace of 50 ms was longer by that. The test fails without the mend.

--- a/lilacloft/net/owner.py
+++ b/lilacloft/net/owner.py
@@ -481,7 +481,10 @@
 
     def departed(self, req: Req) -> int | None:
         gone = self.calls[req].departed()
-        return None if gone is None else gone + self.time - self.steady
+        if gone is None:
+            return None
+        # since the clock as it is: the module's own time stands still while it takes in one event
+        return self.time - (time.monotonic_ns() // NS - gone)
 
     def steadily(self, at: int) -> int:
         """A time of the module's by the steady clock; none (0) stays none."""
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -290,6 +290,27 @@
         successor.front.sock.close()
 
 
+def test_how_long_a_client_has_been_gone_is_reckoned_by_the_clock_within_a_long_event(in_process):
+    """The module's time stands still while it takes in one event; the grace was longer by that."""
+    world = in_process(silent)
+    asker = world.asker()
+    asker.ask(allow=3000)
+    world.caches[0].next()
+
+    def within_a_long_event():
+        owner = world.owner
+        (req,) = owner.calls
+        assert owner.departed(req) is None
+        the_client(world).input_ended = owner.steady
+        begun = time.monotonic()
+        past(begun + 0.04)
+        return owner.time - owner.departed(req)
+
+    assert world.does(within_a_long_event) >= 400
+    forgets(asker)
+    world.rests()
+
+
 def test_an_attempt_anew_for_who_stays_goes_out(in_process):
     """Else the tests above would say little."""
     world = in_process(silent, silent)
