--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -194,16 +194,18 @@
     """Its reading thread waits, as the client does not read its answers."""
     for number in range(8):
         asker.ask(key=100 + number, allow=3000)
-    client = the_client(world)
+    client, stopped = the_client(world), threading.Event()
     until(lambda: client.settled == 8 and client.waits() > LARGEST)
-    asker.send(b"ALIVE", b"99", b"")  # read, and then no more
-    asker.send(b"ALIVE", b"98", b"")
+    held_back = client.held_back
 
-    def lies_unread():
-        with client.lock:
-            return client.unread()
+    def seen(most, span):
+        if waits := held_back(most, span):
+            stopped.set()
+        return waits
 
-    until(lambda: world.owner.front.counts["checks"] and lies_unread())
+    client.held_back = seen
+    asker.send(b"ALIVE", b"99", b"")  # the last that is read, unless it has stopped before
+    assert stopped.wait(5)
     return lambda: None
 
 
