Gateways and rigs tell how late they were: lag histograms, processor waits, lateness in accounts

Cause: the five known failures all come beside load, and nothing told whether the gateway, the rig's clients and boxes, or the machine was late.

Change: counters have histograms of the age of events when the loop takes them, of late timers, of how long requests lay unread and of answers that had to wait, and the kernel's count of what threads waited for a processor (schedstat). A request's trace says where a step was taken over 10 ms late. Boxes, clients and relays of the rigs write the kernel's age of each message as they read it (`late`) into the account; rigs.soak adds to each breach who was late on that request, and a table. No rule is judged by it.

--- a/lilacloft/gateway/client_requests.py
+++ b/lilacloft/gateway/client_requests.py
@@ -50,7 +50,8 @@
         gateway.open_requests[request] = call
         call.history = self.request_history(call, request)
         call.history.deadline = client_deadline
-        gateway.trace.add(call.at, call.name, "arrived", gateway.vhosts[call.vhost]["name"])
+        waited = self.clock.monotonic_time - call.at
+        gateway.trace.add_late(call.at, call.name, "arrived", gateway.vhosts[call.vhost]["name"], waited)
         if gateway.store:
             gateway.store.note_earlier_execution(call, request)
         if gateway.recorder:
--- a/lilacloft/gateway/context.py
+++ b/lilacloft/gateway/context.py
@@ -13,6 +13,7 @@
 from lilacloft.net.client_request import ClientRequest
 from lilacloft.net.discovery_watch import DiscoveryWatch
 from lilacloft.net.downstream import Downstream
+from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.net.request_trace import Trace
 from lilacloft.net.resource_limits import Budgets
 from lilacloft.net.upstream import Upstream
@@ -42,7 +43,10 @@
         self.limits = configuration.limits
         self.clock = GatewayClock(unix_clock)
         self.counters = Counters()
-        self.loop = EventLoop(self.clock, self.counters, self.granularity, configuration.answer_slack)
+        self.lags = GatewayLags()
+        self.loop = EventLoop(
+            self.clock, self.counters, self.granularity, configuration.answer_slack, self.lags
+        )
         self.trace = Trace()
         self.open_requests: dict[Request, ClientRequest] = {}  # also finished ones whose attempt is still out
         self.backends: dict[str, Backend] = {}  # by name
--- a/lilacloft/gateway/dispatcher.py
+++ b/lilacloft/gateway/dispatcher.py
@@ -164,7 +164,7 @@
         call.attempt, call.last_outcome = None, outcome
         if sent.encoded_at:  # else a check kept it back
             self.gateway.invariants.attempt_ended(call.history, outcome)
-        self._trace(call, "ended", end.name)
+        self.gateway.trace.add_late(self.clock.monotonic_time, call.name, "ended", end.name, waited_here)
         self._notify_end(sent, end, duration, reply)
         if outcome == Outcome.DONE:
             self._send_answer(call, end, reply.body)
--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -17,6 +17,7 @@
 
 from lilacloft.gateway.clock import GatewayClock, monotonic_ticks
 from lilacloft.gateway.counters import Counters
+from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
 Callback = Callable[..., Any]
@@ -27,6 +28,7 @@
 
     callback: Callback
     arguments: tuple[Any, ...]
+    posted_at: Ticks = 0  # by the monotonic clock; 0: the loop itself made it
 
 
 class ScheduledCall(NamedTuple):
@@ -42,10 +44,17 @@
     """The queue, the timers and the thread's main loop."""
 
     def __init__(
-        self, clock: GatewayClock, counters: Counters, granularity: Ticks, lag_threshold: Ticks
+        self,
+        clock: GatewayClock,
+        counters: Counters,
+        granularity: Ticks,
+        lag_threshold: Ticks,
+        lags: GatewayLags | None = None,
     ) -> None:
-        """`granularity`: least span of one iteration; `lag_threshold`: lateness of timers that is a lag."""
+        """`granularity`: least span of one iteration; `lag_threshold`: lateness of timers that is a lag;
+        `lags`: where the lags of events and timers are recorded."""
         self.clock, self.counters = clock, counters
+        self.lags = lags or GatewayLags()
         self.granularity, self.lag_threshold = granularity, lag_threshold
         self.queue: queue.SimpleQueue[Event] = queue.SimpleQueue()
         self.timers: list[ScheduledCall] = []  # a heap
@@ -60,7 +69,7 @@
 
     def post(self, callback: Callback, *arguments: Any) -> None:
         """Have a call made in the event loop's thread. Any thread, and signal handlers, may post."""
-        self.queue.put(Event(callback, arguments))
+        self.queue.put(Event(callback, arguments, monotonic_ticks()))
 
     def call_at(self, at: Ticks, callback: Callback, *arguments: Any) -> None:
         """Have a call made at a time or after it."""
@@ -114,12 +123,14 @@
         remaining = self.queue.qsize()
         while event is not None:
             self.clock.update()
+            self.lags.events.record(self.clock.monotonic_time - event.posted_at)
             self.run_callback(event.callback, event.arguments)
             event, remaining = self.next_event(0.0) if remaining > 0 else None, remaining - 1
 
     def _run_due_timers(self) -> None:
         while self.timers and self.timers[0].at <= self.clock.time:
             call = heapq.heappop(self.timers)
+            self.lags.timers.record(self.clock.time - call.at)
             self.run_callback(call.callback, call.arguments)
 
     def run_callback(self, callback: Callback, arguments: tuple[Any, ...]) -> None:
@@ -128,8 +139,8 @@
         try:
             callback(*arguments)
             while self.deferred:
-                callback, arguments = self.deferred.popleft()
-                callback(*arguments)
+                event = self.deferred.popleft()
+                event.callback(*event.arguments)
         except Exception:
             self.counters.answers["faults"] += 1
             if self.clock.time >= self.last_fault_at + TICKS_PER_SECOND:
--- a/lilacloft/gateway/reporting.py
+++ b/lilacloft/gateway/reporting.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from dataclasses import asdict, fields
 
 from loguru import logger
 
@@ -13,6 +14,8 @@
 from lilacloft.gateway.context import GatewayContext
 from lilacloft.invariants import Promise
 from lilacloft.net.attempt import Attempt
+from lilacloft.net.lag_histogram import GatewayLags
+from lilacloft.net.processor_wait import processor_wait
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
 MAX_INSPECTED = 64  # open requests that are logged at once
@@ -44,6 +47,9 @@
         yield "violations", gateway.invariants.violations()
         yield "log", {"connects": gateway.feed.connects, "events": gateway.feed.events}
         yield "held", self.open_resources()
+        for kind in fields(GatewayLags):
+            yield f"lag of {kind.name}", getattr(gateway.lags, kind.name).summary()
+        yield "waited for a processor", asdict(processor_wait())
 
     def inspect(self) -> None:
         """Log the counters, and what has become of the open requests. SIGUSR1 came."""
--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -129,6 +129,7 @@
         gateway.update_clock()
         while (event := gateway.next_event(0.0)) is not None:
             gateway.update_clock()
+            gateway.lags.events.record(gateway.monotonic_time - event.posted_at)
             gateway.run_callback(event.callback, event.arguments)
 
     def _hold_writing(self) -> bool:
--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -13,6 +13,7 @@
 from lilacloft.net.close_reasons import CloseReason
 from lilacloft.net.connection import Connection
 from lilacloft.net.connection_state import ConnectionState
+from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.net.polling import poll_events
 from lilacloft.net.resp import CLIENT_MESSAGE_SIZES, MAX_PART_SIZE, SMALL_BUFFER, MessageBuffer
 from lilacloft.net.tcp_info import since_last_data, since_opened
@@ -48,6 +49,7 @@
     """What clients' connections use of the gateway."""
 
     requests: RequestEvents
+    lags: GatewayLags
     is_shutting_down: bool
 
     def paused_since(self) -> Ticks | None:
@@ -117,6 +119,10 @@
         """Have writing resumed shortly, by the event loop's thread."""
         self.downstream.post(self.downstream.gateway.write_soon, self)
 
+    def record_wait(self, seconds: float) -> None:
+        """An answer had to wait."""
+        self.downstream.gateway.lags.writes.record(int(seconds * TICKS_PER_SECOND))
+
     def apply_backpressure(self) -> None:
         """Stop reading while the client does not read either; report its half close meanwhile."""
         reported = False
--- a/lilacloft/net/downstream.py
+++ b/lilacloft/net/downstream.py
@@ -26,6 +26,7 @@
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.polling import poll_events
 from lilacloft.net.resp import GarbledError, encode, encode_fields
+from lilacloft.protocol_settings import NS_PER_TICK
 from lilacloft.routing.units import Ticks
 
 IDLE_TIMEOUT = 4.0  # seconds after which clients close idle connections themselves
@@ -258,6 +259,7 @@
     def _handle_request(self, client: ClientConnection, items: list[bytes], at: Ticks) -> None:
         """Pass a request on, or answer it with an error where it is unusable."""
         tag = items[1]
+        self.gateway.lags.reads.record(max(0, time.monotonic_ns() // NS_PER_TICK - at))
         if tag in client.open:
             raise GarbledError("a tag that is open already")  # its answer could not be told from the other's
         try:
--- a/lilacloft/net/request_trace.py
+++ b/lilacloft/net/request_trace.py
@@ -8,9 +8,10 @@
 from collections import deque
 from typing import NamedTuple
 
-from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
+from lilacloft.routing.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND, Ticks
 
 MAX_STEPS = 4096  # some hundred bytes each
+NOTABLE_WAIT: Ticks = 10 * TICKS_PER_MILLISECOND  # a longer one stands in the trace
 
 
 class Step(NamedTuple):
@@ -35,6 +36,13 @@
         """Add a step; the oldest one is dropped where there are too many."""
         self.steps.append(Step(at, name, what, detail))
 
+    def add_late(self, at: Ticks, name: str, what: str, detail: str, waited: Ticks) -> None:
+        """Add a step that the event loop came to only `waited` after it could have; tells so where that is
+        long."""
+        if waited > NOTABLE_WAIT:
+            detail = f"{detail}, taken {waited / TICKS_PER_MILLISECOND:.1f} ms late"
+        self.add(at, name, what, detail)
+
     def trail(self, name: str) -> list[Step]:
         """Return the steps of one request, oldest first."""
         return [step for step in list(self.steps) if step.name == name]
--- a/lilacloft/net/write_backlog.py
+++ b/lilacloft/net/write_backlog.py
@@ -11,7 +11,7 @@
 import threading
 import time
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from loguru import logger
 
@@ -28,6 +28,7 @@
     position: int  # where it ends in the stream, in bytes
     unsent: memoryview
     started: bool = False  # was any byte of it sent?
+    queued_at: float = field(default_factory=time.monotonic)  # seconds
 
 
 class BufferedSender(ConnectionLifecycle):
@@ -99,6 +100,9 @@
         by whichever thread is about to send."""
         return message
 
+    def record_wait(self, seconds: float) -> None:
+        """The first byte of a message went out after it had waited so long. Called under the lock."""
+
     def _send_now(self, unsent: memoryview, position: int) -> memoryview:
         """Send what the socket accepts at once of a message that ends at `position`; returns the rest."""
         try:
@@ -121,7 +125,10 @@
             if not message.started and not self._start_message(message):
                 continue
             size = len(message.unsent)
+            is_first = not message.started
             message.unsent = self._send_now(message.unsent, message.position)
+            if is_first and len(message.unsent) < size:
+                self.record_wait(time.monotonic() - message.queued_at)
             if message.unsent:
                 message.started = message.started or len(message.unsent) < size
                 self.backlog.appendleft(message)
--- a/rigs/account.py
+++ b/rigs/account.py
@@ -5,10 +5,15 @@
 
     clients   req (ref vhost key part group allow replay effect gateway), written (ref),
               answer (ref word sum born late), left (ref), lost (ref), extra (word)
-    boxes     do (conn ref vhost key part next age peek replay limit), end (conn ref word note),
-              undo (conn ref), closed (conn), died (), effect (ref replay)
+    boxes     do (conn ref vhost key part next age peek replay limit late), end (conn ref word note),
+              undo (conn ref late), closed (conn), died (), effect (ref replay)
+    relays    passed (late): a piece that its relay passed on later than it should have
+    all       waited (main_ms others_ms longest_other_ms threads): for a processor, so far
     log       listed (be state started capacity kind), purge (key group)
     script    said (text)
+
+`late` says how late the rig itself was: the seconds for which a message had been there, by the kernel, when
+its party came to read it. No rule is judged by it.
 """
 
 from __future__ import annotations
--- a/rigs/boxes.py
+++ b/rigs/boxes.py
@@ -16,9 +16,11 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
+from lilacloft.net.processor_wait import processor_wait
 from lilacloft.net.resp import MessageBuffer, encode, encode_fields
 from rigs.scene import EFFECTS, FILL, HIT, WRITE, Box, Scene, Timers, body, whole
 
@@ -56,6 +58,12 @@
         for name, told in spec["boxes"].items():
             box = self.boxes[name] = FarBox(self, int(name[2:], 16), told["kind"], told["port"])
             box.started = told["started"]
+        self._note_processor_wait()
+
+    def _note_processor_wait(self) -> None:
+        """Tell each second how long the threads of this process have waited for a processor."""
+        self.account.write("site", "waited", **asdict(processor_wait()))
+        self.timers.after(1.0, self._note_processor_wait)
 
     chance = Scene.chance
 
--- a/rigs/load.py
+++ b/rigs/load.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from lilacloft.net.resp import MessageBuffer, encode, encode_fields
+from lilacloft.net.tcp_info import since_last_data
 from rigs.scene import EFFECTS, Scene, whole
 
 CROSSES = 0.05  # seconds before a close within which a req may be sent again on a new connection
@@ -127,6 +128,7 @@
                 self.load.count("lost")
 
     def _answer(self, items: list[bytes]) -> None:
+        late = since_last_data(self.sock)
         now, tag = time.time(), items[0].decode()
         with self.lock:
             asked = self.open.pop(tag, None)
@@ -138,7 +140,14 @@
         word, data = items[1].decode(), items[3] if len(items) > 3 else b""
         born = whole(data, asked.key, asked.part) if word == "200" else None
         self.load.account.write(
-            "clients", "answer", at=now, ref=asked.ref, word=word, born=born, whole=born is not None
+            "clients",
+            "answer",
+            at=now,
+            ref=asked.ref,
+            word=word,
+            born=born,
+            whole=born is not None,
+            late=late,
         )
         self.load.answered(asked, word, now)
         if done:
--- a/rigs/relay.py
+++ b/rigs/relay.py
@@ -28,10 +28,13 @@
 from pathlib import Path
 from typing import Any
 
+from lilacloft.net.tcp_info import since_last_data
+
 HOLDS = 1 << 18  # bytes a direction of a connection
 REPEAT = (0.2, 0.6)
 PIECE = 1 << 15
 CONNECT = 2.0
+NOTABLE = 0.02  # seconds by which a piece is passed on late, from which on it is told
 
 
 class Fault:
@@ -129,6 +132,7 @@
                 self.select.register(one, selectors.EVENT_READ, ("pair", pair))
             return None
         way = pair.ways[sock is pair.far]
+        unread_for = since_last_data(sock)
         try:
             data = sock.recv(PIECE)
         except BlockingIOError:
@@ -141,6 +145,7 @@
             way.ended = True
             self.select.unregister(sock)
             return None
+        self._note_lateness(unread_for)
         fault, now = way.fault, time.monotonic()
         if fault.reset and self.chance.random() < fault.reset:
             return self._end(pair, True)
@@ -154,10 +159,17 @@
             self.select.unregister(sock)
         return None
 
+    def _note_lateness(self, late: float) -> None:
+        """Tell of a piece that this process came to late, in its account."""
+        if late > NOTABLE:
+            entry = {"at": time.time(), "who": "relay", "what": "passed", "late": late}
+            print(json.dumps(entry), file=sys.stderr, flush=True)
+
     def _pass(self, pair: Pair, now: float) -> None:
         for way in pair.ways:
             while way.pieces and not way.fault.stall and max(way.pieces[0][0], way.due) <= now:
                 due, data = way.pieces[0]
+                self._note_lateness(now - max(due, way.due))
                 piece = data[: max(1, int(way.fault.rate * 0.02))] if way.fault.rate else data
                 try:
                     sent = way.sink.send(piece)
--- a/rigs/scene.py
+++ b/rigs/scene.py
@@ -27,6 +27,7 @@
 from typing import Any
 
 from lilacloft.net.resp import encode, parse_fields
+from lilacloft.net.tcp_info import since_last_data
 from rigs.account import Account
 from rigs.checker import Limits
 from rigs.stands import ENV, Log, Replaced, Stand, processes, record, unused
@@ -125,6 +126,7 @@
         self.state, self.started = "active", 0.0
         self.open: dict[tuple[int, bytes], bool] = {}  # what waits for an answer
         self.numbers: dict[Any, int] = {}
+        self.lateness: dict[int, float] = {}  # by connection: seconds that its last message lay unread here
         self.lock = threading.Lock()
         super().__init__(self._says, port)
 
@@ -148,10 +150,12 @@
 
     def _says(self, stand: Stand, sock: socket.socket, items: list[bytes]) -> None:
         number, verb = self.numbers[sock], items[0]
+        self.lateness[number] = since_last_data(sock)
         if verb == b"undo":
             with self.lock:
                 if self.open.pop((number, items[1]), None) is not None:
-                    self.scene.account.write(self.name, "undo", conn=number, ref=items[1].decode())
+                    late = self.lateness[number]
+                    self.scene.account.write(self.name, "undo", conn=number, ref=items[1].decode(), late=late)
         elif verb in (b"top", b"ping"):
             if not self.silent:
                 busy = min(0.9, len(self.open) / 20)
@@ -182,6 +186,7 @@
                     age=age,
                     replay=told.get("replay"),
                     limit=int(told["max"]) / 1000,
+                    late=self.lateness[number],
                 )
         return key, part, age
 
--- a/rigs/soak.py
+++ b/rigs/soak.py
@@ -34,6 +34,7 @@
 
 from rigs.checker import Limits
 from rigs.fleet import TOLD, Fleet, Meta
+from rigs.lateness import lateness, relay_entries, who_was_late
 from rigs.load import Load
 from rigs.rude import Rude
 from rigs.scene import Gateway
@@ -330,6 +331,7 @@
                 fleet.end(gateway)
             entries = fleet.entries()
             breaches, beyond = fleet.judged(entries)
+            seen = [*entries, *relay_entries(fleet.folder)]
             by_name = {path.stem: path.read_text() for path in sorted(fleet.folder.glob("n*.log"))}
             logs = list(by_name.values())
             violations = broken(by_name, fleet.paused)
@@ -346,7 +348,10 @@
         "seconds": seconds,
         "troubles": [f"{at:.2f} {kind}" for at, kind in due],
         "counts": load.counts,
-        "breaches": [str(one) for one in breaches],
+        "breaches": [
+            f"{one} ({who_was_late(one, seen) or 'nobody of the rig was late'})" for one in breaches
+        ],
+        "late": lateness(seen, logs),
         "beyond": beyond,
         "violations": violations,
         "told": [line[:600] for text in logs for line in text.splitlines() if "invariant: " in line][:20],
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,6 +19,7 @@
 from lilacloft.net.client_connection import ClientConnection
 from lilacloft.net.close_reasons import CloseReason
 from lilacloft.net.downstream import MAX_OPEN_REQUESTS, Downstream, DownstreamLimits, ListenEndpoint
+from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.net.resp import MessageBuffer, parse_fields
 from lilacloft.net.upstream import Upstream, UpstreamCallbacks
 from lilacloft.net.upstream_answers import Reply
@@ -235,6 +236,7 @@
             arrived="arrived", cancelled="forgotten", client_sent_malformed="garbled"
         ),
         is_shutting_down=False,
+        lags=GatewayLags(),
         paused_since=lambda: None,
     )
     posted, config = [], from_protocol(ENV)
