A planned end closes connections whose clients send on, so that no request is lost there

Callers saw: requests on open connections never answered, their connection ended 0.2 to 1.2 s later, at gateways that had got SIGTERM.

Cause: Lifecycle.is_finished and _close_listener closed listener and idle connections only once no request had come for 0.2 s; clients that send on kept that from holding. At the last moment the loop ended with those connections open, and the kernel went on taking requests until the process was gone.

Change: from 1.5 s after SIGTERM each connection is half-closed as soon as it is idle, whoever else sends; at every end of the loop our half of what is left is closed. A request that crosses our close is sent again by its client, by the protocol.

Tests: two in tests/test_ends.py, on real sockets, both failed before (time-out waiting for the close).

--- a/lilacloft/gateway/lifecycle.py
+++ b/lilacloft/gateway/lifecycle.py
@@ -16,6 +16,7 @@
 
 ARRIVALS_AFTER_STOP = 0.7  # seconds after SIGTERM in which clients may still send requests, by the protocol
 MAX_ARRIVAL_GAP = 0.2  # seconds without a request after those, until no more are expected
+LATEST_CLOSING = 1.5  # seconds after SIGTERM from which on connections are closed though requests still come
 CLIENT_CLOSE_GRACE = 0.3  # seconds left to clients to close their halves, once ours are closed
 EARLIEST_KILL = 3.0  # seconds from the end of `ARRIVALS_AFTER_STOP` until the process may be killed
 MIN_CLOSING_INTERVAL: Ticks = 10  # between two checks of connections that are closing
@@ -27,7 +28,7 @@
     STARTING = auto()  # bound, and no client accepted yet
     SERVING = auto()
     DRAINING = auto()  # told to stop: clients may still come, and are answered
-    CLOSING = auto()  # no more clients and nothing owed: the listener and our halves are closed
+    CLOSING = auto()  # no more clients: the listener is closed, and our half of each idle connection
     ENDED = auto()  # nothing is left here, or another process is the gateway
 
 
@@ -67,11 +68,14 @@
         if self.phase not in (Phase.DRAINING, Phase.CLOSING):
             return self.phase is Phase.ENDED
         is_busy = self._is_busy()
-        if self.phase is Phase.DRAINING and self._arrivals_are_over() and not is_busy:
-            self._close_listener()
-        if self.phase is Phase.CLOSING and self._clients_are_closed(is_busy):
-            return True
-        return self.gateway.clock.time > self.shutdown_deadline + self.gateway.maintenance_interval // 2
+        if self.phase is Phase.DRAINING:
+            self._close_listener(is_busy)
+        is_settled = self.phase is Phase.CLOSING and self._clients_are_closed(is_busy)
+        last_moment = self.shutdown_deadline + self.gateway.maintenance_interval // 2
+        if not is_settled and self.gateway.clock.time <= last_moment:
+            return False
+        self.gateway.front.close_remaining()  # the process may live on for a while, and answers nothing then
+        return True
 
     def _is_busy(self) -> bool:
         """Is a request open, or an answer unwritten? What a reader has taken may not be in `open_requests`
@@ -87,12 +91,19 @@
             self.last_arrival + MAX_ARRIVAL_GAP * TICKS_PER_SECOND,
         )
 
-    def _close_listener(self) -> None:
-        """Accept no more clients, unless a connection or a message is still unread."""
-        if not self.gateway.front.has_unread():
+    def _is_overdue(self) -> bool:
+        """Do clients go on sending for longer than the protocol lets them?"""
+        return self.gateway.clock.time >= self.shutdown_started + LATEST_CLOSING * TICKS_PER_SECOND
+
+    def _close_listener(self, is_busy: bool) -> None:
+        """Accept no more clients once arrivals are over, and no connection or message is unread. Who sends on
+        regardless does not delay that: its connection is closed when it is idle."""
+        front = self.gateway.front
+        is_quiet = self._arrivals_are_over() and not is_busy and not front.has_unread()
+        if is_quiet or (self._is_overdue() and not front.has_unaccepted()):
             self.enter(Phase.CLOSING)
             self.listener_closed_at = self.gateway.clock.time
-            self.gateway.front.stop_accepting()
+            front.stop_accepting()
 
     def _clients_are_closed(self, is_busy: bool) -> bool:
         """Close our halves of connections on which nothing is owed; is that done, and had clients the time to
--- a/lilacloft/net/downstream.py
+++ b/lilacloft/net/downstream.py
@@ -372,9 +372,13 @@
 
     # --- shutting down, in the event loop's thread ---
 
+    def has_unaccepted(self) -> bool:
+        """Is there a client to accept?"""
+        return not self.is_closed and bool(poll_events(self.sock, select.POLLIN))
+
     def has_unread(self) -> bool:
         """Is there a client to accept, or a message to read?"""
-        if not self.is_closed and poll_events(self.sock, select.POLLIN):
+        if self.has_unaccepted():
             return True
         for client in list(self.clients):
             with client.lock:
@@ -387,3 +391,10 @@
         for client in list(self.clients):
             self._close_if_idle(client)
         return bool(self.clients or self.draining)
+
+    def close_remaining(self) -> None:
+        """Close our half of all connections, whatever is open on them: nothing is answered here any more. Who
+        sends right then sees its request cross the close, and sends it again elsewhere."""
+        for client in list(self.clients):
+            self.add_draining(client)
+            client.half_close(CloseReason.RETIRED)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -23,7 +23,7 @@
 from lilacloft.net import connection as connections
 from lilacloft.net import discovery_watch, downstream
 from lilacloft.net.attempt import Attempt
-from lilacloft.net.client_connection import ClientConnection
+from lilacloft.net.client_connection import RESEND_WINDOW, ClientConnection
 from lilacloft.net.close_reasons import CloseReason
 from lilacloft.net.connection import Connection
 from lilacloft.net.connection_state import ConnectionState
@@ -432,6 +432,42 @@
     assert not world.thread.is_alive() and not any(held.values())
 
 
+def test_a_client_that_sends_on_after_the_signal_sees_its_connection_closed_in_order(in_process, soon):
+    """Requests were lost whose client used its open connection until the process had ended."""
+    world = in_process(serves(b"ok"))
+    asker, answered = world.asker(), []
+    asker.sock.settimeout(5)
+    world.owner.post(world.owner.stop)
+    begun = time.monotonic()
+    while time.monotonic() < begun + 5:
+        written = time.monotonic()
+        tag = asker.ask(key=len(answered))
+        if (answer := asker.answer()) is None:
+            break
+        answered.append(answer[1])
+        assert answer[0] == tag
+        time.sleep(0.03)
+    ended = time.monotonic()
+    assert answer is None and ended - written < RESEND_WINDOW, "it may send that one again elsewhere"
+    assert ended - begun < 2.5 and set(answered) == {b"200"} and len(answered) > 20
+    asker.sock.close()
+    world.thread.join(3)
+    assert not world.thread.is_alive() and not any(world.owner.open_resources().values())
+
+
+def test_what_is_never_idle_is_closed_as_the_process_ends(in_process, soon, monkeypatch):
+    """A half-sent request is read to no end; its client must not wait at a process that answers no more."""
+    monkeypatch.setattr(lifecycle, "EARLIEST_KILL", 1.0)
+    world = in_process(serves(b"ok"))
+    asker = world.asker()
+    asker.sock.settimeout(5)
+    monkeypatch.setattr(ClientConnection, "close_if_idle", lambda *_: False)
+    world.owner.post(world.owner.stop)
+    world.thread.join(5)
+    assert not world.thread.is_alive() and asker.answer() is None
+    asker.sock.close()
+
+
 def test_signals_before_after_and_again_change_no_end(world):
     def slowly(stand, sock, items):
         held.append((sock, items))
