--- a/rigs/upgrade_kills.py
+++ b/rigs/upgrade_kills.py
@@ -13,6 +13,7 @@
 
 from lilacloft.handover.request import request_upgrade
 from rigs.checker import check
+from rigs.lateness import lateness, who_was_late
 from rigs.load import Load
 from rigs.scene import Scene
 from rigs.upgrade_probes import crash_command, histogram, show_progress
@@ -111,7 +112,8 @@
         """Return the report of all kills. `code`: the supervisor's exit code."""
         limits = self.scene.limits()
         limits.attempts = True
-        breaches = check(self.scene.account.sorted(), limits)
+        entries = self.scene.account.sorted()
+        breaches = check(entries, limits)
         cut_off = [breach for breach in breaches if "its connection ended" in breach.text]
         others = [breach for breach in breaches if breach not in cut_off]
         return {
@@ -130,5 +132,7 @@
             "forgotten_purges": sum(breach.rule == 5 for breach in others),
             "faults": self.gateway.log.read_text().count("Traceback"),
             "breaches": [str(breach) for breach in others],
+            "who_was_late": [who_was_late(breach, entries) for breach in others],
+            "late": lateness(entries, [self.gateway.log.read_text()]),
             "back_ms": histogram(self.recoveries),
         }
