What a client cancels between decision and first byte is given up, and counts as no violation

Cause: Upstream.may_send asked only the guard for an attempt that goes out at once. Where the event loop's thread got no processor between the decision and the first byte (0.1 s and more beside 45 busy processes on 6 cores), the client's cancel had come in between. What waits in a backlog was asked before (Attempt.expired), this path was not.

Change: an attempt that is more than 1 ms old when its first byte is due is asked again whether it has expired, and ends as UNWRITTEN; a fresh one costs nothing more.

--- a/lilacloft/net/attempt.py
+++ b/lilacloft/net/attempt.py
@@ -46,10 +46,14 @@
     window_over: Ticks = 0  # when its idempotency window ends
     expired_unsent: bool = field(default=False, init=False)  # removed from the backlog, as it had expired
 
+    def has_waited(self, now: Ticks) -> bool:
+        """Has it waited since it was encoded, so that what was decided then may hold no more?"""
+        return now - self.encoded_at >= TIME_LIMIT_MAX_AGE
+
     def refresh(self) -> None:
         """Lower the encoded time limit to the time that is left: it may have waited since it was encoded."""
         now = time.monotonic_ns() // NS_PER_TICK
-        if self.deadline and now - self.encoded_at >= TIME_LIMIT_MAX_AGE:
+        if self.deadline and self.has_waited(now):
             milliseconds = max(1, (self.deadline - now) // TICKS_PER_MILLISECOND)
             self.data = with_time_limit(self.data, milliseconds)
             self.encoded_at, self.time_limit = now, TICKS_PER_MILLISECOND * milliseconds
--- a/lilacloft/net/upstream.py
+++ b/lilacloft/net/upstream.py
@@ -19,6 +19,7 @@
 from lilacloft.net.resp import encode
 from lilacloft.net.upstream_answers import ANSWER_STATUS, HEALTH_STATUS, Reply, parse_reply
 from lilacloft.net.upstream_pool import UpstreamConnection, UpstreamPool
+from lilacloft.protocol_settings import NS_PER_TICK
 from lilacloft.routing.model import Backend
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
@@ -110,11 +111,12 @@
     # --- sending ---
 
     def may_send(self, attempt: Attempt) -> bool:
-        """Check an attempt just before its first byte, with its time limit brought up to date.
-
-        Any thread may call this."""
+        """Check an attempt just before its first byte, with its time limit brought up to date: its thread may
+        have got no processor since it was decided. Any thread may call this."""
         if attempt.call is None or not attempt.deadline:
             return True
+        if attempt.has_waited(time.monotonic_ns() // NS_PER_TICK) and attempt.expired():
+            return False
         attempt.refresh()
         drained = self.invariants.drained.get(attempt.backend.name)
         return self.invariants.may_begin(attempt.begun(drained.steady if drained else 0))
