A request with more behind it counts from as long ago as the process lags, not from the last byte

Callers saw: caches were told up to 0.24 s more than a client had left, beside load.

Cause: ClientConnection.arrived_at dates a message by the kernel's last byte on its connection. Where another message had come behind it, that is the other's time. Only a process that had stood still for 0.1 s within the last second was taken for late; one whose reading threads wait for a processor, while its event loop runs, was not.

Change: where more input is behind a message, it counts from the last byte less the lag that the process has seen (LagMargin), no earlier than its connection came up or had nothing unread. What is alone on its connection keeps the kernel's own time.

Test: tests/test_lag_margin.py, the reader held on real sockets; it failed before.

--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -18,6 +18,7 @@
 from lilacloft.net.resp import CLIENT_MESSAGE_SIZES, MAX_PART_SIZE, SMALL_BUFFER, MessageBuffer
 from lilacloft.net.tcp_info import since_last_data, since_opened
 from lilacloft.protocol_settings import NS_PER_TICK
+from lilacloft.routing.lag_margin import LagMargin
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
 STALL_TIMEOUT = 3.0  # seconds after which, by the protocol, a client that sends nothing usable is closed
@@ -50,6 +51,7 @@
 
     requests: RequestEvents
     lags: GatewayLags
+    lag_margin: LagMargin
     is_shutting_down: bool
 
     def paused_since(self) -> Ticks | None:
@@ -235,26 +237,33 @@
 
     def note_connect_time(self) -> None:
         """Note when it was connected, where it may have waited long to be accepted."""
-        gateway = self.downstream.gateway
-        if gateway.paused_since() is not None and (span := since_opened(self.sock)):
-            self.connected_at = time.monotonic_ns() // NS_PER_TICK - int(span * TICKS_PER_SECOND)
+        gateway, now = self.downstream.gateway, time.monotonic_ns() // NS_PER_TICK
+        may_have_waited = gateway.paused_since() is not None or gateway.lag_margin.current(now)
+        if may_have_waited and (span := since_opened(self.sock)):
+            self.connected_at = now - int(span * TICKS_PER_SECOND)
 
     def arrived_at(self) -> Ticks:
         """The earliest time at which the message just read may have arrived: with the last byte that the
         kernel received.
 
-        Where more input follows, that says little: if the process was paused meanwhile, the message may have
-        been there since then, or since the connection was made, or since all input had been read."""
+        Where more input follows, that says little: the message may have been there for as long as this
+        process lags, or, if it was paused meanwhile, since then; but neither from before the connection was
+        made nor from before all input had been read."""
         last, paused_since = self.last_byte_at(), self.downstream.gateway.paused_since()
-        if paused_since is None:
-            return last
         now = time.monotonic_ns() // NS_PER_TICK
+        lag = self.downstream.gateway.lag_margin.current(now)
+        if paused_since is None and not lag:
+            return last
         if not (self.buffer.has_partial() or poll_events(self.sock, select.POLLIN)):
             self.emptied_at = now
             return last
+        since = last - lag if paused_since is None else self._unread_since(paused_since)
+        return min(last, max(since, self.connected_at, self.emptied_at))
+
+    def _unread_since(self, paused_since: Ticks) -> Ticks:
+        """Since when input may lie unread after a pause."""
         connected_since = self.connected_at > paused_since - PREDECESSOR_DETECTION_DELAY
-        since = self.connected_at if connected_since else paused_since
-        return min(last, max(since, self.emptied_at))
+        return self.connected_at if connected_since else paused_since
 
     # --- requests ---
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -24,6 +24,7 @@
 from lilacloft.net.upstream import Upstream, UpstreamCallbacks
 from lilacloft.net.upstream_answers import Reply
 from lilacloft.protocol_settings import from_protocol
+from lilacloft.routing.lag_margin import LagMargin
 from lilacloft.routing.model import Backend, Request
 from rigs.stands import ENV, Asker, Log, Stand, World, encode, made, record, serves
 
@@ -237,6 +238,7 @@
         ),
         is_shutting_down=False,
         lags=GatewayLags(),
+        lag_margin=LagMargin(),
         paused_since=lambda: None,
     )
     posted, config = [], from_protocol(ENV)
--- a/tests/test_lag_margin.py
+++ b/tests/test_lag_margin.py
@@ -6,6 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lilacloft.gateway import clock
+from lilacloft.net.resp import parse_fields
 from lilacloft.net.upstream import Upstream
 from lilacloft.routing.lag_margin import LAG_MEMORY, LagMargin
 from rigs.inprocess import forgets, until
@@ -54,6 +56,38 @@
     world.rests()
 
 
+def test_the_first_of_two_requests_that_were_read_late_is_not_taken_for_as_new_as_the_second(
+    in_process, monkeypatch
+):
+    """Its cache was told the whole time anew, where the process got little processor time without a stop."""
+    monkeypatch.setattr(clock, "PAUSE_AFTERMATH", 0)
+    world = in_process(silent)
+    lags(world)
+    asker, go, in_it = world.asker(), threading.Event(), threading.Event()
+    until(lambda: world.owner.front.clients)
+    client = next(iter(world.owner.front.clients))
+    takes = client.on_message
+
+    def held(connection, items):
+        in_it.set()
+        assert go.wait(5)
+        takes(connection, items)
+
+    client.on_message = held
+    asker.send(b"ALIVE", b"99", b"")
+    assert in_it.wait(5)
+    written = time.monotonic()
+    asker.ask(key=1, allow=3000)
+    time.sleep(STALL)
+    asker.ask(key=2, allow=3000)
+    go.set()
+    came, _, items = world.caches[0].next()
+    told = int(parse_fields(items[2])["max"]) / 1000
+    assert told <= written + 3.0 - came + 0.15
+    forgets(asker)
+    world.rests()
+
+
 def test_what_its_client_cancels_between_decision_and_first_byte_is_given_up_without_a_violation(
     in_process, monkeypatch
 ):
