Requests that lay unread are served while their clients wait, not rejected at half of their target

Callers saw: 503 at once, with most of their time left, behind a crowd of idle clients, a pause, or a starved process.

Cause: Router.request_arrived rejected what had waited for over MAX_UNREAD_SHARE of its first-byte target before it was read.

Change: the rule goes, with its reason and constant.

--- a/lilacloft/routing/admission.py
+++ b/lilacloft/routing/admission.py
@@ -6,22 +6,13 @@
 from lilacloft.routing.concurrency import INITIAL_FACTOR
 from lilacloft.routing.model import Backend, Request
 from lilacloft.routing.rendezvous import shed_order
-from lilacloft.routing.units import Ticks
 from lilacloft.routing.virtual_host import VirtualHost
 
 MAX_PRIORITY = 4.0  # a request far above (below) the usual value for its work meets limits so much wider
-MAX_UNREAD_SHARE = 0.5  # of its target that a request may wait to be read: beyond, answers are late anyway
 FAIR_LARGE_SHARE = 0.9  # of its virtual host's answered share, below which large requests are boosted
 LARGE_BOOST = 0.8  # priority of boosted large requests; at 1 a few of them would displace too many others
 
 
-def waited_too_long(vhost: VirtualHost, averages: TrafficAverages, waited: Ticks) -> bool:
-    """Return whether a request that has just been read is to be rejected: all it could get would be late.
-    Requests of less value are rejected first."""
-    priority = max(vhost.value / (averages.value or vhost.value or 1.0), 1 / MAX_PRIORITY)
-    return waited > MAX_UNREAD_SHARE * vhost.first_byte_target * priority
-
-
 def priority_weight(vhost: VirtualHost, request: Request, averages: TrafficAverages) -> float:
     """Return by how much limits are wider for a request: its value for its work, over the usual one."""
     relative = vhost.value / request.transfer_time * averages.transfer_time / (averages.value or 1.0)
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
-from lilacloft.routing import admission, retries
+from lilacloft.routing import retries
 from lilacloft.routing.concurrency import INITIAL_FACTOR, TOLERATED_LATE_SHARE, AdaptiveLimit
 from lilacloft.routing.deadlines import WHOLE_REQUEST, Deadline
 from lilacloft.routing.dispatching import Dispatcher
@@ -91,8 +91,6 @@
     def request_arrived(self, request: Request) -> None:
         """A client sends a request."""
         vhost, now = self.virtual_hosts[request.vhost], self.host.now()
-        if admission.waited_too_long(vhost, self.averages, now - request.arrived_at):
-            return self.reject(request, RejectReason.LAY_UNREAD)
         known_transfer_time = request.kbytes / self.settings.transfer_rate
         if not vhost.has_traffic:
             vhost.record_first(known_transfer_time)
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -236,3 +236,17 @@
     client.connected_at, client.emptied_at = stood - 1_500, stood + 700
     assert client.arrived_at() == stood + 700
     asker.sock.close()
+
+
+def test_what_lay_unread_while_the_process_was_stopped_is_served_as_its_clients_still_wait(world):
+    """Requests behind a stopped process, or at a crowded door, were rejected after half of their target."""
+    one = world(serves())
+    held = one.asker()
+    for key in range(60):  # the rejection was by value, which takes some requests to be known
+        held.ask(key=key)
+        assert held.answer()[1] == b"200"
+    with stopped(one.process):
+        fresh = one.asker()
+        tags = held.ask(key=1, allow=2500), fresh.ask(key=2, allow=2500)
+        time.sleep(0.5)
+    assert held.answer()[:2] == [tags[0], b"200"] and fresh.answer()[:2] == [tags[1], b"200"]
