A store that a failing disk kept empty has the change log read from its first event

Cause: EndpointRows.starting_point began after the configuration's event where no event was durable; purges between the life before and that configuration were in neither.

Change: it reads from the last durable event, and from the first one where there is none; lists that the configuration has already are passed over, as before.

--- a/lilacloft/store/endpoint_rows.py
+++ b/lilacloft/store/endpoint_rows.py
@@ -4,7 +4,8 @@
 with the number of their event, so that a drain holds from the first request on, also while the change log
 cannot be reached. The stored rows are complete from one event (`complete_from`) to the last durable one. A
 configuration of an earlier event leaves a gap: then the change log is read again from that event on, as if
-nothing were stored. There is no I/O here.
+nothing were stored. Where nothing is durable it is read from its first event on: purges that are not in the
+configuration may have been heard while the disk failed. There is no I/O here.
 """
 
 from __future__ import annotations
@@ -95,7 +96,8 @@
         are durable (0: none). Rows that the configuration has already are left out."""
         if not last or configured < self.complete_from:  # events are missing in between
             self.complete_from, self.last_full, self.rows = configured, 0, {}
-            return StartingPoint([], configured)
+            # as below: an empty store may be one that a failing disk kept empty
+            return StartingPoint([], min(last, configured))
         if last <= configured:
             # purges may be missing here: the log sends them again; rows it repeats are older and ignored
             return StartingPoint([], last)
--- a/rigs/shim.py
+++ b/rigs/shim.py
@@ -3,7 +3,8 @@
 
 SPEC is a JSON object: `seed`; `rates`, the part of calls that fail, by call (rigs.failing); `short`, the part
 of reads and writes that are short; `offset`, milliseconds by which the wall clock is ahead; `steps`, a list
-of pairs, seconds after the start and milliseconds by which the clock is set then.
+of pairs, seconds after the start and milliseconds by which the clock is set then; `disk`, a pair, the part of
+the store's writes and syncs that fail and for how many seconds from the start on (rigs.failing_disk).
 """
 
 from __future__ import annotations
@@ -32,8 +33,12 @@
 def run() -> int:
     """Serve with the failures of the spec under it."""
     from lilacloft.__main__ import main
+    from rigs import failing_disk
     from rigs.failing import Failures, put_under
 
+    if "disk" in SPEC:
+        rate, seconds = SPEC["disk"]
+        failing_disk.put_under(failing_disk.FailingDisk(rate, seconds, SPEC.get("seed", 0)))
     failures = Failures(SPEC.get("rates"), SPEC.get("seed", 0), SPEC.get("short", 0.0))
     connect = socket.create_connection
 
--- a/rigs/store.py
+++ b/rigs/store.py
@@ -35,6 +35,9 @@
     options.add_argument("--folder", default=None, help="where the real disk's stores go")
     options.add_argument("--times", type=int, default=200, help="kills")
     options.add_argument("--rate", type=float, default=200.0, help="reqs a second while killing")
+    options.add_argument(
+        "--disk-fails", type=float, default=0.0, metavar="SECONDS", help="in each life, while killing"
+    )
     options.add_argument("--without", action="store_true", help="kill one that has no store")
     options.add_argument("--json", metavar="FILE")
     return options
@@ -51,7 +54,7 @@
     if args.what == "side":
         return side_by_side(args.times, args.seconds, args.folder), True
     if args.what == "kill":
-        report = kill(args.times, args.rate, args.seed, not args.without)
+        report = kill(args.times, args.rate, args.seed, not args.without, args.disk_fails)
         return report, args.without or not (report["breaches"] or report["faults"])
     sizes = [int(float(size)) for size in args.sizes.split(",")]
     return speed(args.seconds, sizes, args.folder), True
--- a/rigs/store_kill.py
+++ b/rigs/store_kill.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import tempfile
 import time
@@ -14,18 +15,24 @@
 from rigs.upgrade_probes import histogram
 
 STORE_SETTINGS = '(store (folder "store"))'
+DISK_FAILURES = 0.5  # part of a failing disk's calls that fail
 PURGE_SHARE = 0.5  # of the kills, before which an object is purged
 
 
-def kill(times: int, rate: float, seed: int, with_store: bool = True) -> dict[str, Any]:
-    """Kill a gateway `times` times at `rate` requests a second.
+def kill(
+    times: int, rate: float, seed: int, with_store: bool = True, disk_fails_for: float = 0.0
+) -> dict[str, Any]:
+    """Kill a gateway `times` times at `rate` requests a second; half of its disk's writes and syncs fail in
+    the first `disk_fails_for` seconds of each life.
 
     Clients send again, under its name, what crossed the end of their connection, requests that are not
     idempotent too. The accounts of backends and clients are checked against the rules. Without a store
     breaches are expected.
     """
     with tempfile.TemporaryDirectory(prefix="storekill") as name:
-        scene = Scene(Path(name), seed)
+        spec = json.dumps({"seed": seed, "disk": [DISK_FAILURES, disk_fails_for]})
+        program = ("rigs.shim", spec) if disk_fails_for else ("lilacloft",)
+        scene = Scene(Path(name), seed, program=program)
         gateway = scene.gateways[0]
         settings = gateway.settings(STORE_SETTINGS) if with_store else ()
         try:
--- a/tests/test_endpoint_rows.py
+++ b/tests/test_endpoint_rows.py
@@ -84,9 +84,10 @@
                 assert current == replayed(log_events, max(configured, last)) and read_after == last
 
 
-def test_without_a_durable_event_the_change_log_is_read_from_the_configuration_on():
+def test_without_a_durable_event_the_change_log_is_read_from_its_first_event_on():
+    """Purges that the configuration is too new to have may have been heard, and never become durable."""
     endpoint_rows = EndpointRows()
-    assert endpoint_rows.starting_point(7, 0) == ([], 7) and endpoint_rows.complete_from == 7
+    assert endpoint_rows.starting_point(7, 0) == ([], 0) and endpoint_rows.complete_from == 7
 
 
 def test_stored_rows_are_bounded_by_the_backends_in_events():
