--- a/rigs/boxes.py
+++ b/rigs/boxes.py
@@ -73,7 +73,7 @@
 
     def _do(self, sock: socket.socket, number: int, ref: bytes, told: dict[str, str]) -> None:
         key, part, age = self._taken(number, ref, told, of_gateway="fill" not in told)
-        if self.silent:
+        if self.silent or (self.resets and self._answers_by_reset(sock, number)):
             return
         wait = self.slow + self.chance.expovariate(250)
         if EFFECTS[told["profile"]] != "replayable":
--- a/rigs/scene.py
+++ b/rigs/scene.py
@@ -196,14 +196,20 @@
             if born < at and (not key or place[0] == key):
                 self.copies.pop(place, None)
 
+    def _answers_by_reset(self, sock: socket.socket, number: int) -> bool:
+        """Is a dispatch answered by a reset of its connection? Then that is done."""
+        if self.chance.random() >= self.resets:
+            return False
+        self._gives_up(number)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.shutdown(socket.SHUT_RDWR)
+        return True
+
     def _do(self, sock: socket.socket, number: int, ref: bytes, told: dict[str, str]) -> None:
         key, part, age = self._taken(number, ref, told)
         if self.silent:
             return
-        if self.chance.random() < self.resets:
-            self._gives_up(number)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            sock.shutdown(socket.SHUT_RDWR)
+        if self._answers_by_reset(sock, number):
             return
         wait = self.slow + self.chance.expovariate(250)
         if EFFECTS[told["profile"]] != "replayable":
--- a/rigs/soak.py
+++ b/rigs/soak.py
@@ -1,5 +1,5 @@
 """A soak of a few dozen real processes on loopback with troubles that overlap:
-`python -m rigs.soak --seeds 1 2 3 [--gateways 24 --seconds 20 --troubles 16] [--json FILE]`.
+`python -m rigs.soak --seeds 1 2 3 [--gateways 24 --seconds 20 --troubles 16] [--hard] [--json FILE]`.
 
 Gateways, boxes and relays on all links are processes, as in rigs.fleet, without planners. From the seed are
 drawn: planned ends with restarts, kills, pauses, new configurations in a row that move discovery, links that
@@ -8,6 +8,10 @@
 (rigs.failing), and some have a wall clock that is an hour off, and stepped. Beside the judged clients, some
 of whom cancel or have little time, there are rude ones (rigs.rude).
 
+With `--hard` signals come in series (SIGTERM and SIGHUP several times within 0.1 s, also to a process that
+starts), SIGKILL comes at the protocol's earliest after SIGTERM, with clients that use their open connections
+until then, and there are crowds: the rate threefold for a second or two, at one gateway or at all.
+
 Judged by the accounts of clients and boxes (rigs.checker, with the operators' terms on attempts), by the
 gateways' own checks (lilacloft/invariants.py), and by how processes end: a planned end is with code 0 and in
 time, no start takes 10 s, no event ends in an exception, nothing is held once all is answered.
@@ -43,6 +47,10 @@
 SETTLES = 2.0  # seconds of service before the first trouble
 QUIET = 1.0  # seconds after the last one
 PURGES_LAST = 6.0  # seconds for which a configuration tells of purges, by the settings
+EARLIEST_KILL = 3.7  # seconds after SIGTERM, by the protocol for deadlines of 3 s
+SIGNAL_SERIES = 0.1  # seconds
+START_SPAN = 0.6  # seconds of a start in which a signal may come to it
+CROWD = 3.0  # times the rate
 ENDS = 7.0  # seconds in which a process that is told to end must have
 READY = 10.0  # seconds in which a start must serve
 HOUR = 3_600_000  # milliseconds
@@ -78,6 +86,7 @@
     "purge",
     "purge",
 )
+HARD_KINDS = (*KINDS, "signals", "signals", "start", "crowd", "crowd")
 
 
 @dataclass
@@ -92,8 +101,11 @@
 class Soak(Fleet):
     """The world of one run."""
 
-    def __init__(self, folder: Path, seed: int, gateways: int) -> None:
+    def __init__(self, folder: Path, seed: int, gateways: int, hard: bool = False) -> None:
         super().__init__(folder, seed, gateways, planners=0, zones=2, caches=3, hubs=1, parents=2)
+        self.patience = EARLIEST_KILL if hard else ENDS  # for a planned end
+        self.load: Load | None = None
+        self.crowded = False
         self.purged: list[tuple[int, str, float]] = []  # number, object and time
         self.direct: set[str] = set()  # gateways that follow the change log without the relay
         self.ended = Ended()
@@ -139,11 +151,20 @@
         span = chance.uniform(0.3, 2.5)
         free = [one for one in self.gateways if one.name not in self.busy]
         gateway = chance.choice(free or self.gateways)
-        if kind in ("term", "kill", "pause", "reload") and not free:
+        if kind in ("term", "kill", "pause", "reload", "signals", "start") and not free:
             return
         self.account.write("script", "said", text=f"{kind} {gateway.name} for {span:.2f} s")
-        own = {"term": self._term, "kill": self._kill, "pause": self._pause, "reload": self._reload}
-        if kind in own:
+        own = {
+            "term": self._term,
+            "kill": self._kill,
+            "pause": self._pause,
+            "reload": self._reload,
+            "signals": self._signals,
+            "start": self._signalled_start,
+        }
+        if kind == "crowd":
+            self._crowd(gateway if chance.random() < 0.5 else None, chance.uniform(1.0, 2.0))
+        elif kind in own:
             self._aside(own[kind], gateway, chance.uniform(0.1, 0.9), chance.randrange(1, 4))
         elif kind in ("stall", "reset", "lossy", "late", "unlogged"):
             self._link_trouble(kind, gateway, span, chance)
@@ -184,12 +205,53 @@
         assert process is not None
         process.terminate()
         try:
-            self.ended.codes[process.wait(ENDS)] += 1
+            self.ended.codes[process.wait(self.patience)] += 1
         except subprocess.TimeoutExpired:
             self.ended.late.append(gateway.name)
             process.kill()
             process.wait()
 
+    def _signals(self, gateway: Gateway, span: float, times: int) -> None:
+        """A planned end that is told several times, with new configurations between."""
+        for number in [signal.SIGTERM, signal.SIGHUP] * times:
+            self._signal([gateway], number)
+            time.sleep(SIGNAL_SERIES * span / (2 * times))
+        self._term(gateway)
+
+    def _signalled_start(self, gateway: Gateway, span: float, times: int) -> None:
+        """A planned end, and another one while the next process starts."""
+        self.end(gateway)
+        place = gateway.spawn()
+        process = gateway.process
+        assert process is not None
+        time.sleep(START_SPAN * span)
+        for number in [signal.SIGHUP] * (times - 1) + [signal.SIGTERM]:
+            process.send_signal(number)
+        code = process.wait(self.patience)
+        has_served = b"serving on" in gateway.log.read_bytes()[place:]
+        if has_served or code not in (
+            -signal.SIGTERM,
+            -signal.SIGHUP,
+        ):  # before it takes signals, they end it
+            self.ended.codes[code] += 1
+        self._up(gateway)
+
+    def _crowd(self, gateway: Gateway | None, span: float) -> None:
+        """More requests for a while, to one gateway or to all."""
+        load = self.load
+        if load is None or self.crowded:
+            return
+        self.crowded, usual, weights = True, load.rate, load.weights
+        load.rate = CROWD * usual
+        if gateway is not None:
+            share = (CROWD - 1) * len(self.gateways)  # of that one: all that is more comes to it
+            load.weights = [1.0 + share * (one is gateway) for one in self.gateways]
+
+        def back() -> None:
+            load.rate, load.weights, self.crowded = usual, weights, False
+
+        self.timers.after(span, back)
+
     def _kill(self, gateway: Gateway, *_: Any) -> None:
         self._halted([gateway], 3.0)
         assert gateway.process is not None
@@ -302,17 +364,27 @@
 
 
 def run(
-    seed: int, gateways: int, seconds: float, troubles: int, rate: float, keep: Path | None = None
+    seed: int,
+    gateways: int,
+    seconds: float,
+    troubles: int,
+    rate: float,
+    keep: Path | None = None,
+    hard: bool = False,
 ) -> dict[str, Any]:
     """One run; everybody's account and all logs are kept in a folder, if one is named."""
     with tempfile.TemporaryDirectory(prefix="soak") as name:
-        fleet = Soak(Path(name), seed, gateways)
+        fleet = Soak(Path(name), seed, gateways, hard)
         chance = fleet.chance("troubles")
-        due = sorted((chance.uniform(0, seconds), chance.choice(KINDS)) for _ in range(troubles))
+        due = sorted(
+            (chance.uniform(0, seconds), chance.choice(HARD_KINDS if hard else KINDS))
+            for _ in range(troubles)
+        )
         try:
             fleet.start()
             load = Load(fleet, rate, held=2)  # type: ignore[arg-type]
             load.allows, load.forgets, load.bold = (2500, 2500, 1500, 600, 120), 0.05, True
+            fleet.load = load
             rude = Rude([gateway.port for gateway in fleet.gateways], fleet.chance("rude"))
             load.start()
             rude.start()
@@ -389,11 +461,12 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--troubles", type=int, default=24)
     parser.add_argument("--rate", type=float, default=200.0)
+    parser.add_argument("--hard", action="store_true", help="signals in series, early kills, crowds")
     parser.add_argument("--keep", type=Path, metavar="FOLDER", help="for accounts and logs")
     parser.add_argument("--json", metavar="FILE")
     given = parser.parse_args(words)
     reports = [
-        run(seed, given.gateways, given.seconds, given.troubles, given.rate, given.keep)
+        run(seed, given.gateways, given.seconds, given.troubles, given.rate, given.keep, given.hard)
         for seed in given.seeds
     ]
     tell({"runs": reports, "bad": [report["seed"] for report in reports if bad(report)]}, given.json)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,14 @@
     assert report["retried"]
 
 
+def test_a_short_soak_with_signals_in_series_early_kills_and_crowds_breaks_nothing():
+    """Clients use their open connections until the earliest kill after SIGTERM; requests were lost there."""
+    report = soak.run(seed=1, gateways=10, seconds=6.0, troubles=14, rate=120.0, hard=True)
+    assert not soak.bad(report), report
+    kinds = {trouble.split()[1] for trouble in report["troubles"]}
+    assert {"signals", "crowd", "term"} <= kinds and report["counts"]["done"] > 300
+
+
 def test_what_gateways_find_and_how_they_end_makes_a_run_bad():
     good = {
         "breaches": [],
