A timer that is made for a time that is over counts as no lag of the gateway

Cause: EventLoop._run_due_timers measured a timer's lag from the time that it was made for; send_deadline_passed of a client whose half closed long ago, and deadlines that are over, are made for times seconds in the past. LagMargin took that for a lag of the process.

Change: a timer's lag counts from when it was made, if that is later. The export of a handover reads timers by name.

--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -39,6 +39,11 @@
     number: int
     callback: Callback
     arguments: tuple[Any, ...]
+    made_at: Ticks = 0  # it may be made for a time that is over
+
+    def lag(self, now: Ticks) -> Ticks:
+        """Return how much later it runs than it could have."""
+        return now - max(self.at, self.made_at)
 
 
 class EventLoop:
@@ -76,7 +81,7 @@
     def call_at(self, at: Ticks, callback: Callback, *arguments: Any) -> None:
         """Have a call made at a time or after it."""
         self.timer_count += 1
-        heapq.heappush(self.timers, ScheduledCall(at, self.timer_count, callback, arguments))
+        heapq.heappush(self.timers, ScheduledCall(at, self.timer_count, callback, arguments, self.clock.time))
 
     def defer(self, callback: Callback, *arguments: Any) -> None:
         """Have a call made once the current callback has returned, before anything else."""
@@ -132,7 +137,7 @@
     def _run_due_timers(self) -> None:
         while self.timers and self.timers[0].at <= self.clock.time:
             call = heapq.heappop(self.timers)
-            lag = self.clock.time - call.at
+            lag = call.lag(self.clock.time)
             self.lags.timers.record(lag)
             if lag > self.lag_threshold:
                 self.lag_margin.record(lag, self.clock.monotonic_time)
--- a/lilacloft/handover/state_export.py
+++ b/lilacloft/handover/state_export.py
@@ -205,11 +205,11 @@
     def of(cls, gateway: Gateway) -> _AttemptTimers:
         """Read a gateway's timers."""
         found = cls({}, {})
-        for due_at, _, callback, arguments in gateway.timers:
-            if callback == gateway.attempt_timed_out:
-                found.deadlines[arguments[0]] = due_at
-            elif callback == gateway.attempt_ended:
-                found.pending_ends[arguments[0]] = (arguments[1].name, due_at)
+        for timer in gateway.timers:
+            if timer.callback == gateway.attempt_timed_out:
+                found.deadlines[timer.arguments[0]] = timer.at
+            elif timer.callback == gateway.attempt_ended:
+                found.pending_ends[timer.arguments[0]] = (timer.arguments[1].name, timer.at)
         return found
 
 
--- a/tests/test_lags.py
+++ b/tests/test_lags.py
@@ -38,6 +38,17 @@
     assert lags.events.longest >= 500 and lags.timers.longest >= 500
 
 
+def test_a_timer_that_is_made_for_a_time_that_is_over_is_no_lag():
+    """A client's half that closed long ago, or a deadline that is over, took seconds off all others' time."""
+    loop = EventLoop(GatewayClock(), Counters(), granularity=1, lag_threshold=200)
+    loop.call_at(loop.clock.time + 10**8, lambda: None)
+    loop.call_at(loop.clock.time - 30_000, lambda: None)
+    remaining = iter([False, True])
+    loop.run(lambda: next(remaining))
+    assert loop.lags.timers.longest < 10_000
+    assert loop.lag_margin.current(loop.clock.monotonic_time) < 10_000
+
+
 def test_a_request_that_lay_unread_and_a_reply_that_was_queued_are_told_in_counters_and_trace(in_process):
     world = in_process(serves(b"x"))
     asker, go = world.asker(), world.stall()
