Replies and deadlines no longer wait for a batch of requests, nor one client for another's

Cause: EventLoop._run_events took all queued events in the order of their posting, and only then timers. A client that pipelines 32 requests (rigs/rude.py) put 32 arrivals of some 0.3 ms of processor time each before everybody's replies and deadlines; beside load that stretch is broken up by the scheduler, and by threads that hold the interpreter and have no processor. Where lag began, the loop slept for the answer slack with an event in its hand, and each iteration slept to a least span.

Change: routing/fair_queue.py decides the order (no I/O, no clock; plain model and properties): work in hand, then due timers, then one event of one client; clients take turns, each client's own events keep their order, and a request whose time is over goes first. Timers are run at the time as it is then. The margin for lag follows what events waited and took as well. Where lag begins, answers that lie unread are waited for only while there are any. The least span of an iteration is gone.

--- a/lilacloft/gateway/context.py
+++ b/lilacloft/gateway/context.py
@@ -44,9 +44,7 @@
         self.clock = GatewayClock(unix_clock)
         self.counters = Counters()
         self.lags = GatewayLags()
-        self.loop = EventLoop(
-            self.clock, self.counters, self.granularity, configuration.answer_slack, self.lags
-        )
+        self.loop = EventLoop(self.clock, self.counters, configuration.answer_slack, self.lags)
         self.lag_margin = self.loop.lag_margin
         self.trace = Trace()
         self.open_requests: dict[Request, ClientRequest] = {}  # also finished ones whose attempt is still out
--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -1,16 +1,17 @@
 """The event loop of a gateway: one thread that takes events from a queue, runs timers and isolates faults.
 
 Other threads only `post`. Everything else belongs to the thread of `run`. A callback must never wait for a
-peer. Times are `Ticks` of the gateway's clock.
+peer. In which order events are taken is decided in lilacloft/routing/fair_queue.py; timers that are due run
+before each event of a client, so that no deadline waits for a batch of them. Times are `Ticks` of the
+gateway's clock.
 """
 
 from __future__ import annotations
 
 import heapq
 import queue
-import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -18,6 +19,7 @@
 from lilacloft.gateway.clock import GatewayClock, monotonic_ticks
 from lilacloft.gateway.counters import Counters
 from lilacloft.net.lag_histogram import GatewayLags
+from lilacloft.routing.fair_queue import FairQueue
 from lilacloft.routing.lag_margin import LagMargin
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
@@ -30,6 +32,8 @@
     callback: Callback
     arguments: tuple[Any, ...]
     posted_at: Ticks = 0  # by the monotonic clock; 0: the loop itself made it
+    client: Hashable | None = None  # the client whose message or end it is; None: work in hand
+    due_at: Ticks | None = None  # when the time of a client's request is over, by the monotonic clock
 
 
 class ScheduledCall(NamedTuple):
@@ -53,30 +57,41 @@
         self,
         clock: GatewayClock,
         counters: Counters,
-        granularity: Ticks,
         lag_threshold: Ticks,
         lags: GatewayLags | None = None,
     ) -> None:
-        """`granularity`: least span of one iteration; `lag_threshold`: lateness of timers that is a lag;
-        `lags`: where the lags of events and timers are recorded."""
+        """`lag_threshold`: lateness of timers that is a lag; `lags`: where the lags of events and timers are
+        recorded."""
         self.clock, self.counters = clock, counters
         self.lags = lags or GatewayLags()
         self.lag_margin = LagMargin()  # by the monotonic clock
-        self.granularity, self.lag_threshold = granularity, lag_threshold
-        self.queue: queue.SimpleQueue[Event] = queue.SimpleQueue()
+        self.lag_threshold = lag_threshold
+        self.queue: queue.SimpleQueue[Event] = queue.SimpleQueue()  # what was posted and is not in `work` yet
+        self.work: FairQueue[Event] = FairQueue()
         self.timers: list[ScheduledCall] = []  # a heap
         self.timer_count = 0
         self.deferred: deque[Event] = deque()  # calls to make once the current callback has returned
         self.is_lagging = False
         self.last_fault_at: Ticks = 0  # when a fault was last logged
         self.report_lag: Callable[[Ticks], None] = lambda _lag: None
+        self.has_unread_answers: Callable[[], bool] = lambda: False
         self.is_obsolete: Callable[[ScheduledCall], bool] = lambda _call: False  # may a timer be dropped?
 
     # --- scheduling ---
 
-    def post(self, callback: Callback, *arguments: Any) -> None:
-        """Have a call made in the event loop's thread. Any thread, and signal handlers, may post."""
-        self.queue.put(Event(callback, arguments, monotonic_ticks()))
+    def post(
+        self,
+        callback: Callback,
+        *arguments: Any,
+        client: Hashable | None = None,
+        due_at: Ticks | None = None,
+    ) -> None:
+        """Have a call made in the event loop's thread. Any thread, and signal handlers, may post.
+
+        `client`: whose message or end the call is about; it is made after all that was posted from this
+        client before, and in turn with the other clients' calls. None: work in hand, made before those.
+        `due_at`: by the monotonic clock, when the time of a request is over; then it need not wait."""
+        self.queue.put(Event(callback, arguments, monotonic_ticks(), client, due_at))
 
     def call_at(self, at: Ticks, callback: Callback, *arguments: Any) -> None:
         """Have a call made at a time or after it."""
@@ -95,53 +110,90 @@
             self._run_once()
 
     def _run_once(self) -> None:
-        clock = self.clock
+        """Wait for an event or a timer, and do all that is there then."""
+        self._wait_for_work()
+        self.clock.update()
+        lag_begins = self._report_lag()
+        self._run_in_hand()
+        if lag_begins:
+            self._await_unread_answers()
+        for _ in range(self.work.new_count + 1):
+            self._run_in_hand()  # what has happened comes before what is due,
+            self._run_due_timers()  # and both before what is new
+            event = self.work.next_new(self.clock.monotonic_time)
+            if event is None:
+                return
+            self._run_event(event)
+
+    def _wait_for_work(self) -> None:
         while self.is_obsolete(self.timers[0]):
             heapq.heappop(self.timers)
-        clock.update()
-        event = self.next_event(max(0, self.timers[0].at - clock.time) / TICKS_PER_SECOND)
-        clock.update()
-        started = clock.monotonic_time
-        event = self._check_lag(event)
-        self._run_events(event)  # what has happened comes before what is due,
-        self._run_events(self.next_event(0.0))  # also what has happened meanwhile
-        clock.update()
-        self._run_due_timers()
-        # one iteration in each span of the granularity: under load one iteration takes several events, where
-        # waking for each would cost more than everything else about a request
-        remaining = started + self.granularity - monotonic_ticks()
-        if remaining > 0:
-            time.sleep(remaining / TICKS_PER_SECOND)
-
-    def _check_lag(self, event: Event | None) -> Event | None:
-        """Report late timers. Where lag begins, wait a moment, so that answers that lie unread are read
-        before time-outs are run; only once, as a loop that lags on is overloaded and must not sleep."""
+        self.clock.update()
+        wait = 0 if self.work else max(0, self.timers[0].at - self.clock.time)
+        self._take_posted(wait / TICKS_PER_SECOND)
+
+    def _take_posted(self, timeout: float = 0.0) -> None:
+        """Put all that was posted in its place; wait so many seconds for the first of it."""
+        try:
+            if timeout > 0:
+                self._schedule(self.queue.get(timeout=timeout))
+            for _ in range(self.queue.qsize()):
+                self._schedule(self.queue.get_nowait())
+        except queue.Empty:
+            return
+
+    def _schedule(self, event: Event) -> None:
+        self.work.add(event, event.client, event.due_at)
+
+    def _report_lag(self) -> bool:
+        """Report late timers; return whether they are the first ones that are late."""
         lag = self.clock.time - self.timers[0].at
         was_lagging, self.is_lagging = self.is_lagging, lag > self.lag_threshold
         if self.is_lagging:
             self.report_lag(lag)
-            if not was_lagging:
-                time.sleep(self.lag_threshold / TICKS_PER_SECOND)
-                event = event or self.next_event(0.0)
-        return event
-
-    def _run_events(self, event: Event | None) -> None:
-        """Run an event and those that are queued behind it now."""
-        remaining = self.queue.qsize()
-        while event is not None:
-            self.clock.update()
-            self.lags.events.record(self.clock.monotonic_time - event.posted_at)
-            self.run_callback(event.callback, event.arguments)
-            event, remaining = self.next_event(0.0) if remaining > 0 else None, remaining - 1
+        return self.is_lagging and not was_lagging
+
+    def _await_unread_answers(self) -> None:
+        """Wait for answers that lie unread, for as long as the threshold at most, so that they are taken
+        before time-outs are run. Only where lag begins: an overloaded loop must not wait."""
+        waits_until = monotonic_ticks() + self.lag_threshold
+        while self.has_unread_answers() and (remaining := waits_until - monotonic_ticks()) > 0:
+            self._take_posted(remaining / TICKS_PER_SECOND)
+
+    def _run_in_hand(self) -> None:
+        """Do the work in hand, then what was posted of it meanwhile."""
+        for _ in range(2):
+            self._take_posted()
+            for _ in range(len(self.work.in_hand)):
+                event = self.work.in_hand.popleft()
+                self.clock.update()
+                self._record_lag(self.clock.monotonic_time - event.posted_at)
+                self._run_event(event)
+        self.clock.update()
+
+    def _run_event(self, event: Event) -> None:
+        """Make the call of an event. For as long as that takes, whatever else is due is late."""
+        self.clock.update()
+        began = self.clock.monotonic_time
+        self.lags.events.record(began - event.posted_at)
+        self.run_callback(event.callback, event.arguments)
+        self.clock.update()
+        self._record_lag(self.clock.monotonic_time - began)
 
     def _run_due_timers(self) -> None:
-        while self.timers and self.timers[0].at <= self.clock.time:
+        for _ in range(len(self.timers)):
+            if self.timers[0].at > self.clock.time:
+                return
             call = heapq.heappop(self.timers)
             lag = call.lag(self.clock.time)
             self.lags.timers.record(lag)
-            if lag > self.lag_threshold:
-                self.lag_margin.record(lag, self.clock.monotonic_time)
+            self._record_lag(lag)
             self.run_callback(call.callback, call.arguments)
+            self.clock.update()
+
+    def _record_lag(self, lag: Ticks) -> None:
+        if lag > self.lag_threshold:
+            self.lag_margin.record(lag, self.clock.monotonic_time)
 
     def run_callback(self, callback: Callback, arguments: tuple[Any, ...]) -> None:
         """Make one call and those that it defers. An exception must not end all other requests: it is
@@ -157,9 +209,7 @@
                 self.last_fault_at = self.clock.time
                 logger.exception("the module's thread failed in one event")
 
-    def next_event(self, timeout: float) -> Event | None:
-        """Return the next event of the queue; None where there is none within so many seconds."""
-        try:
-            return self.queue.get(timeout=timeout)
-        except queue.Empty:
-            return None
+    def next_event(self) -> Event | None:
+        """Take out the next event; None where there is none."""
+        self._take_posted()
+        return self.work.next(self.clock.monotonic_time)
--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -81,6 +81,7 @@
         self.clock.update()
         self.router = Router(self, self.settings)
         self.loop.report_lag = self.router.loop_lagged
+        self.loop.has_unread_answers = self.back.has_unread_answers
         self.loop.is_obsolete = self.dispatcher.is_obsolete
         if not follows:
             self.discovery.apply_configured_events(initial_events)
--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -127,7 +127,7 @@
         """Process all events in the queue."""
         gateway = self.gateway
         gateway.update_clock()
-        while (event := gateway.next_event(0.0)) is not None:
+        while (event := gateway.next_event()) is not None:
             gateway.update_clock()
             gateway.lags.events.record(gateway.monotonic_time - event.posted_at)
             gateway.run_callback(event.callback, event.arguments)
--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -133,7 +133,7 @@
             if self.input_ended is not None and not reported:
                 reported = True  # its requests are rejected at once, not once all before the end is read
                 events = self.downstream.gateway.requests
-                self.downstream.post(events.client_half_closed, self, self.input_ended)
+                self.downstream.post(events.client_half_closed, self, self.input_ended, client=self)
 
     def wait_for_answers(self, reason: CloseReason) -> None:
         """Wait for the answers to what was read: the client may have closed only its half.
@@ -172,10 +172,10 @@
         handled = threading.Event()
         events = self.downstream.gateway.requests
         if reason is CloseReason.GARBLED:
-            self.downstream.post(events.client_sent_malformed, self)
+            self.downstream.post(events.client_sent_malformed, self, client=self)
         else:
-            self.downstream.post(events.client_half_closed, self, self.input_ended)
-        self.downstream.post(handled.set)
+            self.downstream.post(events.client_half_closed, self, self.input_ended, client=self)
+        self.downstream.post(handled.set, client=self)
         handled.wait()
 
     def _finish(self, reason: CloseReason, how: int = socket.SHUT_RDWR) -> None:
--- a/lilacloft/net/downstream.py
+++ b/lilacloft/net/downstream.py
@@ -27,7 +27,7 @@
 from lilacloft.net.polling import poll_events
 from lilacloft.net.resp import GarbledError, encode, encode_fields
 from lilacloft.protocol_settings import NS_PER_TICK
-from lilacloft.routing.units import Ticks
+from lilacloft.routing.units import TICKS_PER_MILLISECOND, Ticks
 
 IDLE_TIMEOUT = 4.0  # seconds after which clients close idle connections themselves
 THREAD_RETRY_TIME = 1.0  # seconds in which the start of a client's thread is retried
@@ -74,7 +74,8 @@
         limits: DownstreamLimits,
         endpoint: ListenEndpoint,
     ) -> None:
-        """`post` has a function called in the event loop's thread; any thread may call it."""
+        """`post` has a function called in the event loop's thread, as `EventLoop.post`; any thread may call
+        it."""
         self.post, self.gateway = post, gateway
         self.max_kbytes = limits.max_kbytes
         self.requests_by_name: dict[str, ClientRequest] = {}  # open ones: readers add, the event loop removes
@@ -254,7 +255,7 @@
         self.draining.pop(client, None)
         self.closes[(client.close_reason or CloseReason.FAULT).name] += 1
         if client.open:
-            self.post(self.gateway.requests.client_disconnected, client)
+            self.post(self.gateway.requests.client_disconnected, client, client=client)
 
     def _handle_request(self, client: ClientConnection, items: list[bytes], at: Ticks) -> None:
         """Pass a request on, or answer it with an error where it is unusable."""
@@ -274,7 +275,8 @@
             if accepted:
                 self.counts["reqs"] += 1
                 client.mark_passed_on()  # first: the event loop may handle it before this thread goes on
-                self.post(self.gateway.requests.arrived, request)
+                due_at = request.at + request.allow * TICKS_PER_MILLISECOND
+                self.post(self.gateway.requests.arrived, request, client=client, due_at=due_at)
 
     def _parse_request(self, client: ClientConnection, items: list[bytes], at: Ticks) -> ClientRequest:
         """Parse a request. Raises ValueError, KeyError or GarbledError where it is unusable, OverflowError
@@ -297,7 +299,7 @@
         request = client.open.get(tag)
         if request is not None and self.close_request(request):
             request.cancelled_at = at
-            self.post(self.gateway.requests.cancelled, request)
+            self.post(self.gateway.requests.cancelled, request, client=client)
 
     def _reject(self, client: ClientConnection, tag: bytes, status: bytes) -> None:
         """Answer an unusable message; raises GarbledError after `MAX_OPEN_REQUESTS` of them in a row."""
--- a/lilacloft/net/upstream.py
+++ b/lilacloft/net/upstream.py
@@ -257,6 +257,14 @@
             reason = CloseReason.UNWRITTEN
         return reason
 
+    def has_unread_answers(self) -> bool:
+        """May an answer to an attempt in flight have come that its reader has not passed on yet?"""
+        return any(
+            connection.in_flight and connection.has_unread_input()
+            for pool in self.pools.values()
+            for connection in pool.connections
+        )
+
     # --- maintenance ---
 
     def close_stalled(self) -> None:
