The order of events after its review: hand-over, the wait's bound, overdue requests, lag between events

- A hand-over runs within an event and takes all others itself; the loop counted them first, and ended with an IndexError outside any guard, with all that the process owed (deterministic, in process).
- The wait for answers that lie unread asked the system once for each connection in flight, each time giving the interpreter away: 41 to 247 ms for one look beside busy threads, where 8 ms were the bound.
One call asks for all now, and a reader marks an answer as passed on before it posts it.
- Requests whose time is over went before all others: 32 of them from one client before another's single request.
They go at most every second time.
- A lag that began within an iteration was neither reported nor waited for.
It is looked at before timers.

The margin no longer follows how long an event took, only what waited. Names are the field's (internal and client events). Tests: each of these forced, failing before (the hand-over's, the overdue batch's, the lag between two events'; the count of system calls); a malformed message and an end of input that went before their own client's requests passed unseen, and fail now (both mutants tried).

--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -23,6 +23,8 @@
 from lilacloft.routing.lag_margin import LagMargin
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
+MAX_INTERNAL_PASSES = 2  # over internal events, before timers and clients' events have their turn
+
 Callback = Callable[..., Any]
 
 
@@ -32,7 +34,7 @@
     callback: Callback
     arguments: tuple[Any, ...]
     posted_at: Ticks = 0  # by the monotonic clock; 0: the loop itself made it
-    client: Hashable | None = None  # the client whose message or end it is; None: work in hand
+    client: Hashable | None = None  # the client whose message or end it is; None: an internal event
     due_at: Ticks | None = None  # when the time of a client's request is over, by the monotonic clock
 
 
@@ -89,7 +91,7 @@
         """Have a call made in the event loop's thread. Any thread, and signal handlers, may post.
 
         `client`: whose message or end the call is about; it is made after all that was posted from this
-        client before, and in turn with the other clients' calls. None: work in hand, made before those.
+        client before, and in turn with the other clients' calls. None: it is internal, and made before those.
         `due_at`: by the monotonic clock, when the time of a request is over; then it need not wait."""
         self.queue.put(Event(callback, arguments, monotonic_ticks(), client, due_at))
 
@@ -110,17 +112,13 @@
             self._run_once()
 
     def _run_once(self) -> None:
-        """Wait for an event or a timer, and do all that is there then."""
+        """Wait for an event or a timer, and do all that is there then: before each event of a client the
+        internal events that have come, then the timers that are due."""
         self._wait_for_work()
-        self.clock.update()
-        lag_begins = self._report_lag()
-        self._run_in_hand()
-        if lag_begins:
-            self._await_unread_answers()
-        for _ in range(self.work.new_count + 1):
-            self._run_in_hand()  # what has happened comes before what is due,
-            self._run_due_timers()  # and both before what is new
-            event = self.work.next_new(self.clock.monotonic_time)
+        for _ in range(self.work.client_count + 1):
+            self._run_internal()
+            self._run_due_timers()
+            event = self.work.next_of_clients(self.clock.monotonic_time)
             if event is None:
                 return
             self._run_event(event)
@@ -131,56 +129,46 @@
         self.clock.update()
         wait = 0 if self.work else max(0, self.timers[0].at - self.clock.time)
         self._take_posted(wait / TICKS_PER_SECOND)
+        self.clock.update()
 
     def _take_posted(self, timeout: float = 0.0) -> None:
-        """Put all that was posted in its place; wait so many seconds for the first of it."""
+        """Enqueue all that was posted; wait so many seconds for the first of it."""
         try:
             if timeout > 0:
-                self._schedule(self.queue.get(timeout=timeout))
+                self._enqueue(self.queue.get(timeout=timeout))
             for _ in range(self.queue.qsize()):
-                self._schedule(self.queue.get_nowait())
+                self._enqueue(self.queue.get_nowait())
         except queue.Empty:
             return
 
-    def _schedule(self, event: Event) -> None:
+    def _enqueue(self, event: Event) -> None:
         self.work.add(event, event.client, event.due_at)
 
-    def _report_lag(self) -> bool:
-        """Report late timers; return whether they are the first ones that are late."""
-        lag = self.clock.time - self.timers[0].at
-        was_lagging, self.is_lagging = self.is_lagging, lag > self.lag_threshold
-        if self.is_lagging:
-            self.report_lag(lag)
-        return self.is_lagging and not was_lagging
-
-    def _await_unread_answers(self) -> None:
-        """Wait for answers that lie unread, for as long as the threshold at most, so that they are taken
-        before time-outs are run. Only where lag begins: an overloaded loop must not wait."""
-        waits_until = monotonic_ticks() + self.lag_threshold
-        while self.has_unread_answers() and (remaining := waits_until - monotonic_ticks()) > 0:
-            self._take_posted(remaining / TICKS_PER_SECOND)
-
-    def _run_in_hand(self) -> None:
-        """Do the work in hand, then what was posted of it meanwhile."""
-        for _ in range(2):
+    def _run_internal(self) -> None:
+        """Run the internal events that have come, and once more those that have come meanwhile. A handover
+        runs within one of them and takes all others itself."""
+        for _ in range(MAX_INTERNAL_PASSES):
             self._take_posted()
-            for _ in range(len(self.work.in_hand)):
-                event = self.work.in_hand.popleft()
-                self.clock.update()
-                self._record_lag(self.clock.monotonic_time - event.posted_at)
-                self._run_event(event)
-        self.clock.update()
+            count = len(self.work.internal)
+            while count and self.work.internal:
+                count -= 1
+                self._run_event(self.work.internal.popleft())
+            if self.queue.empty():
+                return
 
     def _run_event(self, event: Event) -> None:
-        """Make the call of an event. For as long as that takes, whatever else is due is late."""
-        self.clock.update()
+        """Make the call of an event."""
         began = self.clock.monotonic_time
-        self.lags.events.record(began - event.posted_at)
+        waited = began - event.posted_at
+        self.lags.events.record(waited)
+        if event.client is None:
+            self._record_lag(waited)
         self.run_callback(event.callback, event.arguments)
         self.clock.update()
-        self._record_lag(self.clock.monotonic_time - began)
 
     def _run_due_timers(self) -> None:
+        if self._lag_begins():
+            self._await_unread_answers()
         for _ in range(len(self.timers)):
             if self.timers[0].at > self.clock.time:
                 return
@@ -191,6 +179,23 @@
             self.run_callback(call.callback, call.arguments)
             self.clock.update()
 
+    def _lag_begins(self) -> bool:
+        """Report late timers; return whether none was late when this was last asked."""
+        lag = self.clock.time - self.timers[0].at
+        was_lagging, self.is_lagging = self.is_lagging, lag > self.lag_threshold
+        if self.is_lagging:
+            self.report_lag(lag)
+        return self.is_lagging and not was_lagging
+
+    def _await_unread_answers(self) -> None:
+        """Take answers that lie unread before time-outs are run, for as long as the threshold at most. Only
+        where lag begins: an overloaded loop must not wait."""
+        waits_until = monotonic_ticks() + self.lag_threshold
+        while self.has_unread_answers() and (remaining := waits_until - monotonic_ticks()) > 0:
+            self._take_posted(remaining / TICKS_PER_SECOND)
+        self._run_internal()
+        self.clock.update()
+
     def _record_lag(self, lag: Ticks) -> None:
         if lag > self.lag_threshold:
             self.lag_margin.record(lag, self.clock.monotonic_time)
--- a/lilacloft/net/connection.py
+++ b/lilacloft/net/connection.py
@@ -130,13 +130,6 @@
             or bool(poll_events(self.sock, select.POLLIN))
         )
 
-    def has_unread_input(self) -> bool:
-        """Is there input that the reader has not passed on, as far as can be told without the lock?"""
-        try:
-            return self.received != self.passed_on or bool(poll_events(self.sock, select.POLLIN))
-        except (ValueError, OSError):
-            return False  # the descriptor is closed
-
     def mark_passed_on(self) -> None:
         """The current message is passed on; what follows it in the buffer is not."""
         self.passed_on = self.received - self.buffer.unread_size()
--- a/lilacloft/net/polling.py
+++ b/lilacloft/net/polling.py
@@ -1,9 +1,10 @@
-"""Polling of a single socket."""
+"""Polling of sockets."""
 
 from __future__ import annotations
 
 import select
 import socket
+from collections.abc import Iterable
 
 from lilacloft.net import socket_errors
 
@@ -24,3 +25,16 @@
             raise
         return unknown
     return found[0][1] if found else 0
+
+
+def any_readable(socks: Iterable[socket.socket]) -> bool:
+    """Has any of these sockets input, an end of input or an error? One system call for all; False where that
+    fails."""
+    poller = select.poll()
+    for sock in socks:
+        if (descriptor := sock.fileno()) >= 0:  # else it is closed
+            poller.register(descriptor, select.POLLIN)
+    try:
+        return bool(poller.poll(0))
+    except OSError:
+        return False
--- a/lilacloft/net/upstream.py
+++ b/lilacloft/net/upstream.py
@@ -16,6 +16,8 @@
 from lilacloft.net.attempt import Attempt
 from lilacloft.net.close_reasons import CloseReason
 from lilacloft.net.connection import Connection
+from lilacloft.net.connection_state import ConnectionState
+from lilacloft.net.polling import any_readable
 from lilacloft.net.resp import encode
 from lilacloft.net.upstream_answers import ANSWER_STATUS, HEALTH_STATUS, Reply, parse_reply
 from lilacloft.net.upstream_pool import UpstreamConnection, UpstreamPool
@@ -208,6 +210,7 @@
     def read_answer(self, connection: UpstreamConnection, items: list[bytes]) -> None:
         """Parse one answer and pass it to the event loop. Raises GarbledError."""
         reply = parse_reply(items, self.load_names)
+        connection.mark_passed_on()  # first: the event loop may ask before this thread goes on
         self.post(self.answered, connection, items[0], items[1], reply)
 
     def connection_closed(self, connection: UpstreamConnection) -> None:
@@ -259,11 +262,15 @@
 
     def has_unread_answers(self) -> bool:
         """May an answer to an attempt in flight have come that its reader has not passed on yet?"""
-        return any(
-            connection.in_flight and connection.has_unread_input()
+        awaited = [
+            connection
             for pool in self.pools.values()
             for connection in pool.connections
-        )
+            if connection.in_flight and connection.state is ConnectionState.OPEN
+        ]
+        if any(connection.received != connection.passed_on for connection in awaited):
+            return True
+        return any_readable(connection.sock for connection in awaited)
 
     # --- maintenance ---
 
--- a/lilacloft/routing/fair_queue.py
+++ b/lilacloft/routing/fair_queue.py
@@ -1,10 +1,10 @@
-"""The order of an event loop's work: work in hand before new work, and no client before another's turn.
+"""The order of an event loop's work: internal events before clients' events, and clients take turns.
 
-Work in hand is what requests that were let in wait for: replies, lost connections, what discovery tells. It
-is done in the order in which it came. What clients send is new work. Each client's is done in its own order,
-and the clients take turns (round-robin fair queueing, RFC 970), so a client that sends many requests at once
-delays its own and hardly anybody else's. New work whose time is over goes before the rest of it, as all that
-is left to do is to say so.
+Internal events are what requests that were let in wait for: replies, lost connections, what discovery tells.
+They are taken in the order in which they came. A client's events are taken in their own order, and clients
+take turns (round-robin fair queueing, RFC 970), so a client that sends many requests at once delays its own
+and hardly anybody else's. Every second one may be a request whose time is over, whoever's: all that is left
+to do is to say so, which costs little.
 
 No I/O and no clock. Times are `Ticks` by one clock of the caller's.
 """
@@ -15,7 +15,7 @@
 from collections import deque
 from collections.abc import Hashable
 from dataclasses import dataclass
-from typing import Generic, TypeVar
+from typing import Generic, NamedTuple, TypeVar
 
 from lilacloft.routing.units import Ticks
 
@@ -23,80 +23,91 @@
 
 
 @dataclass(eq=False, slots=True)
-class NewWork(Generic[Item]):
+class ClientItem(Generic[Item]):
     """One item of a client's."""
 
     item: Item
     client: Hashable
-    is_taken: bool = False
+    is_dequeued: bool = False
+
+
+class ItemDeadline(NamedTuple):
+    """When the time of an item is over."""
+
+    due_at: Ticks
+    sequence: int  # in the order of adding
+    entry: ClientItem[object]
 
 
 class FairQueue(Generic[Item]):
     """The items that wait. Not thread-safe."""
 
     def __init__(self) -> None:
-        self.in_hand: deque[Item] = deque()
-        self.by_client: dict[Hashable, deque[NewWork[Item]]] = {}  # what each client has sent
-        self.turns: deque[Hashable] = deque()  # the clients of `by_client`, the next one first
-        self.deadlines: list[tuple[Ticks, int, NewWork[Item]]] = []  # a heap
-        self.new_count = 0  # items of clients that wait
-        self.added = 0  # items of clients so far
+        self.internal: deque[Item] = deque()
+        self.by_client: dict[Hashable, deque[ClientItem[Item]]] = {}
+        self.round_robin: deque[Hashable] = deque()  # the clients of `by_client`, the next one first
+        self.deadlines: list[ItemDeadline] = []  # a heap; what was dequeued in turn stays to its time
+        self.client_count = 0  # items of clients that wait
+        self.sequence = 0  # items of clients so far
+        self.was_overdue = False  # was the last client's item taken out of turn?
 
     def __bool__(self) -> bool:
         """Return whether anything waits."""
-        return bool(self.in_hand or self.new_count)
+        return bool(self.internal or self.client_count)
 
     def add(self, item: Item, client: Hashable | None = None, due_at: Ticks | None = None) -> None:
-        """Add an item behind the others of its client; None: it is work in hand. `due_at`: when its time is
+        """Add an item behind the others of its client; None: it is internal. `due_at`: when its time is
         over."""
         if client is None:
-            self.in_hand.append(item)
+            self.internal.append(item)
             return
-        work = NewWork(item, client)
+        entry = ClientItem(item, client)
         if client not in self.by_client:
             self.by_client[client] = deque()
-            self.turns.append(client)
-        self.by_client[client].append(work)
-        self.new_count += 1
-        self.added += 1
+            self.round_robin.append(client)
+        self.by_client[client].append(entry)
+        self.client_count += 1
+        self.sequence += 1
         if due_at is not None:
-            heapq.heappush(self.deadlines, (due_at, self.added, work))
-
-    def next_new(self, now: Ticks) -> Item | None:
-        """Take out an item whose time is over, else the oldest one of the client whose turn it is; None where
-        no client's waits."""
-        work = self._take_overdue(now) or self._take_in_turn()
-        if work is None:
+            heapq.heappush(self.deadlines, ItemDeadline(due_at, self.sequence, entry))
+
+    def next_of_clients(self, now: Ticks) -> Item | None:
+        """Take out the oldest item of the client whose turn it is, or before that one whose time is over;
+        None where no client's waits."""
+        entry = None if self.was_overdue else self._take_overdue(now)
+        self.was_overdue = entry is not None
+        entry = entry or self._take_in_turn()
+        if entry is None:
             return None
-        work.is_taken = True
-        self.new_count -= 1
-        return work.item
+        entry.is_dequeued = True
+        self.client_count -= 1
+        return entry.item
 
     def next(self, now: Ticks) -> Item | None:
         """Take out what is to be done first; None where nothing waits."""
-        return self.in_hand.popleft() if self.in_hand else self.next_new(now)
+        return self.internal.popleft() if self.internal else self.next_of_clients(now)
 
-    def _take_overdue(self, now: Ticks) -> NewWork[Item] | None:
-        while self.deadlines and (self.deadlines[0][0] <= now or self.deadlines[0][2].is_taken):
-            work = heapq.heappop(self.deadlines)[2]
-            if work.is_taken:
+    def _take_overdue(self, now: Ticks) -> ClientItem[Item] | None:
+        while self.deadlines and (self.deadlines[0].due_at <= now or self.deadlines[0].entry.is_dequeued):
+            entry = heapq.heappop(self.deadlines).entry
+            if entry.is_dequeued:
                 continue
-            waiting = self.by_client[work.client]
-            waiting.remove(work)
+            waiting = self.by_client[entry.client]
+            waiting.remove(entry)
             if not waiting:
-                del self.by_client[work.client]
-                self.turns.remove(work.client)
-            return work
+                del self.by_client[entry.client]
+                self.round_robin.remove(entry.client)
+            return entry
         return None
 
-    def _take_in_turn(self) -> NewWork[Item] | None:
-        if not self.turns:
+    def _take_in_turn(self) -> ClientItem[Item] | None:
+        if not self.round_robin:
             return None
-        client = self.turns.popleft()
+        client = self.round_robin.popleft()
         waiting = self.by_client[client]
-        work = waiting.popleft()
+        entry = waiting.popleft()
         if waiting:
-            self.turns.append(client)
+            self.round_robin.append(client)
         else:
             del self.by_client[client]
-        return work
+        return entry
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -104,19 +104,37 @@
 
 def test_unread_answers_are_waited_for_up_to_the_threshold_and_only_where_lag_begins(loop):
     """A loop that lags on is overloaded and must not wait."""
+    waits, take = [], loop._take_posted
+    loop._take_posted = lambda timeout=0.0: (waits.append(timeout), take(timeout))
     late_timer(loop)
     loop.has_unread_answers = lambda: True
     began = time.monotonic()
     run_for(loop, 1)
     waited = time.monotonic() - began
     assert waited >= LAG_THRESHOLD / TICKS_PER_SECOND
-    waits, take = [], loop._take_posted
-    loop._take_posted = lambda timeout=0.0: (waits.append(timeout), take(timeout))
+    assert 0 < sum(waits) <= 2 * LAG_THRESHOLD / TICKS_PER_SECOND
+    waits.clear()
     late_timer(loop)
     run_for(loop, 1)
     assert loop.is_lagging and not any(waits)
 
 
+def test_a_lag_that_begins_between_two_events_is_reported_and_unread_answers_are_taken_first(loop):
+    """The process was stopped in one event: time-outs ran, and a backend was blamed, without a look."""
+    lags, calls, unread = [], [], iter([True, False])
+    loop.report_lag = lags.append
+    loop.has_unread_answers = lambda: next(unread) and not loop.post(calls.append, "answer")
+
+    def stopped():
+        loop.call_at(loop.clock.time, calls.append, "time-out")
+        time.sleep(2 * LAG_THRESHOLD / TICKS_PER_SECOND)
+
+    loop.post(stopped, client="a client")
+    loop.post(calls.append, "next", client="a client")
+    run_for(loop, 1)
+    assert lags and calls == ["answer", "time-out", "next"]
+
+
 def test_a_due_timer_runs_before_each_client_s_event_and_a_reply_before_both(loop):
     """A batch of one client's requests made another's deadline late."""
     calls = []
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -16,7 +16,7 @@
     """The same in the plainest words: a list of all that waits, and a list of the clients in their turns."""
 
     def __init__(self):
-        self.waiting, self.turns = [], []
+        self.waiting, self.turns, self.was_overdue = [], [], False
 
     def add(self, item, client, due_at):
         if client is not None and client not in self.turns:
@@ -28,14 +28,17 @@
         overdue = [entry for entry in self.waiting if entry[1] and entry[2] is not None and entry[2] <= now]
         if in_hand:
             chosen = in_hand[0]
-        elif overdue:
+        elif overdue and not self.was_overdue:
             chosen = min(overdue, key=lambda entry: (entry[2], entry[0]))
         elif self.waiting:
             client = self.turns.pop(0)
             self.turns.append(client)
             chosen = next(entry for entry in self.waiting if entry[1] == client)
         else:
+            self.was_overdue = False
             return None
+        if not in_hand:
+            self.was_overdue = bool(overdue) and not self.was_overdue
         self.waiting.remove(chosen)
         self.turns = [client for client in self.turns if any(entry[1] == client for entry in self.waiting)]
         return chosen[0]
@@ -51,10 +54,10 @@
         else:
             assert queue.next(time) == model.next(time)
         assert bool(queue) == bool(model.waiting)
-        assert queue.new_count == sum(client is not None for _, client, _ in model.waiting)
+        assert queue.client_count == sum(client is not None for _, client, _ in model.waiting)
     while queue:
         assert queue.next(5) == model.next(5)
-    assert queue.next(5) is None and queue.next_new(5) is None
+    assert queue.next(5) is None and queue.next_of_clients(5) is None
 
 
 @given(st.lists(st.tuples(st.sampled_from("abc"), st.none() | TIMES), max_size=40))
--- a/tests/test_work_order.py
+++ b/tests/test_work_order.py
@@ -5,6 +5,8 @@
 then is noted by hooks, in order. Nothing here depends on how long anything takes.
 """
 
+import select
+import threading
 import time
 from types import SimpleNamespace
 
@@ -13,6 +15,9 @@
 from lilacloft.gateway.clock import GatewayClock
 from lilacloft.gateway.counters import Counters
 from lilacloft.gateway.event_loop import EventLoop
+from lilacloft.handover.quiesce import Quiescer
+from lilacloft.net import polling
+from lilacloft.net.connection import Connection
 from lilacloft.net.resp import encode, encode_fields, parse_fields
 from lilacloft.routing.units import TICKS_PER_SECOND
 from rigs.inprocess import halves, until
@@ -52,19 +57,20 @@
         return sum(what == "taken" for what, _ in self.steps)
 
     def taken_before(self, what, key, since=0):
-        """How many other requests were taken before something was done, from a step on."""
-        end = self.steps.index((what, key))
+        """How many other requests were taken before something was done, from a step on. ValueError where it
+        was done before that step."""
+        end = self.steps.index((what, key), since)
         return sum(step[0] == "taken" for step in self.steps[since:end])
 
 
-def batch(asker, count=BATCH):
+def batch(asker, count=BATCH, allow=3000):
     """So many requests in one write. The answer to `ALIVE`, which the reader itself gives, shows that all
     before it are posted."""
     messages = []
     for number in range(1, count + 1):
         fields = {
             "ref": f"{id(asker) % 10**9:08x}{number:08x}",
-            "allow": 3000,
+            "allow": allow,
             "lookup": f"{number:016x}",
             "nth": 0,
             "batch": 7,
@@ -247,6 +253,21 @@
     assert order.taken_before("answered", SINGLE_KEY) <= MAX_ARRIVALS_BETWEEN + 1  # and its own
 
 
+def test_overdue_requests_of_one_client_go_before_anothers_request_once_at_most(in_process):
+    # guards rule 1: whoever sends what is over when it comes must not hold up who has time left
+    world = in_process(silent)
+    order, flood, other = WorkOrder(world.owner), world.asker(), world.asker()
+    posted(flood), posted(other)
+    go, since = world.stall(), time.monotonic()
+    batch(flood, allow=1)
+    other.ask(key=SINGLE_KEY, allow=3000)
+    posted(other)
+    until(lambda: time.monotonic() > since + 0.01)
+    go.set()
+    until(lambda: order.taken() == BATCH + 1)
+    assert order.taken_before("taken", SINGLE_KEY) <= 2 * MAX_ARRIVALS_BETWEEN + 1
+
+
 def test_a_request_that_is_taken_within_a_lag_has_the_margin_for_it(in_process):
     # guards rule 1: the margin of what lay in the queue meanwhile is that of before the lag
     world = in_process(silent)
@@ -279,6 +300,80 @@
     got = list(iter(rude.answer, None))
     assert {items[0] for items in got} == tags and {items[1] for items in got} == {b"503"}
     until(lambda: order.taken() == BATCH + 4)
+    rejects = world.owner.counters.rejects
+    assert rejects["GARBLED"] and not rejects["TIME_UP"], "at once, not when their time is up"
+
+
+def test_the_end_of_a_clients_input_comes_after_its_requests(in_process):
+    # guards what another order could break: nothing is sent for who may have left, from a moment on
+    world = in_process(silent)
+    flood, asker = world.asker(), world.asker()
+    posted(flood), posted(asker)
+    go = world.stall()
+    batch(flood)
+    asker.ask(key=SINGLE_KEY, allow=3000)
+    halves(asker)
+    until(lambda: any(client.input_ended is not None for client in world.owner.front.clients))
+    go.set()
+    until(lambda: f"{SINGLE_KEY:016x}" in [call.key for call in world.owner.open_requests.values()])
+    world.does(lambda: None)
+    (call,) = [call for call in world.owner.open_requests.values() if call.key == f"{SINGLE_KEY:016x}"]
+    until(lambda: call.request.send_by)
+
+
+def test_a_reply_behind_a_handover_that_takes_all_events_leaves_the_loop_running(in_process, monkeypatch):
+    # guards rule 1: the loop ended with an error, and with it all that the process owed
+    monkeypatch.setattr(Connection, "movable", True)
+    world = in_process(silent)
+    asker, tag, sock, items = out(world, REPLY_KEY)
+    quiescer, results = Quiescer(world.owner), []
+
+    def rest_and_resume():
+        results.append(quiescer.quiesce(time.monotonic() + 4, lambda: True))
+        quiescer.resume_all()
+
+    go = world.stall()
+    world.owner.post(rest_and_resume)
+    replies(world, sock, items)
+    go.set()
+    assert asker.answer()[:2] == [tag, b"200"]
+    until(lambda: results)
+    again = world.asker()
+    again.ask(key=SINGLE_KEY)
+    assert world.caches[0].next()
+
+
+# --- answers that lie unread ---
+
+
+def test_the_loop_knows_of_an_answer_that_its_reader_has_or_could_have_and_asks_the_system_once(
+    in_process, monkeypatch
+):
+    # guards rule 1: one question for each connection took longer than the wait that it was to bound
+    world = in_process(silent)
+    askers = [out(world, REPLY_KEY + number) for number in range(4)]
+    has_unread, polls = world.owner.loop.has_unread_answers, []
+    assert not world.does(has_unread)
+    make = select.poll
+
+    def counted():
+        polls.append(1)
+        return make()
+
+    monkeypatch.setattr(polling.select, "poll", counted)
+    assert not world.does(lambda: (polls.clear(), has_unread())[1] or len(polls) != 1)
+    lines = [line for pool in world.owner.back.pools.values() for line in pool.connections]
+    held, go = threading.Event(), threading.Event()
+    for line in lines:
+        takes = line.on_message
+        line.on_message = lambda *told, takes=takes: (held.set(), go.wait(5), takes(*told))
+    _, tag, sock, items = askers[0]
+    sock.sendall(encode(items[1], b"data", b"remark=TCP_HIT", b"bytes"))
+    assert held.wait(5)
+    assert world.does(has_unread), "its reader has it and has not passed it on"
+    go.set()
+    assert askers[0][0].answer()[:2] == [tag, b"200"]
+    until(lambda: not world.does(has_unread))
 
 
 def test_a_reply_before_its_connections_end_counts_before_it(in_process):
