A retry waits out the delay that the cancelled attempt's link has shown

Callers saw nothing.

Cause: Upstream.cancel and connection_lost waited the settings' answer slack (8 ms), also where the backend's last answers had shown that messages take longer.

Now LinkDelay (lilacloft/routing) keeps the last three answers' times, less the source's time and the transfer; the wait is the shortest of them. A slow cache looks the same, so where probes are allowed a ping follows the undo on its connection, and its answer, which proves that the undo was read, ends the wait. A cache that answered at once and hangs costs no longer wait than before. A slow link that nothing announced is not told from a hang, and stays as it was.

Ruled out: time-outs (none follows), what has not gone out whole, a handover (the wait goes over, tested), a connection not up, a cache's own end.

--- a/lilacloft/gateway/dispatcher.py
+++ b/lilacloft/gateway/dispatcher.py
@@ -21,6 +21,11 @@
 from lilacloft.routing.model import Backend, Idempotency, Outcome, Request
 from lilacloft.routing.units import Ticks
 
+# ends of a health check behind a cancellation after which the backend has read it, or has no connection to us
+CONFIRMS_CANCELLATION = frozenset(
+    (CloseReason.DATA, CloseReason.FAILED, CloseReason.CLOSED, CloseReason.RESET)
+)
+
 
 class AttemptDispatcher:
     """One gateway's attempts and health checks."""
@@ -102,7 +107,9 @@
         if self._withdraw_from_store(sent):
             self.report_end(sent, CloseReason.UNWRITTEN)
         elif sent.connection is not None:
-            confirmed_at = self.gateway.back.cancel(sent)
+            confirmed_at = self.gateway.back.cancel(sent, confirm=not request.finished)
+            if sent.confirmation is not None:
+                self.loop.call_at(confirmed_at, self.attempt_timed_out, sent.confirmation)
             self.loop.defer(self.attempt_cancelled, sent, CloseReason.CALLED_OFF, confirmed_at)
 
     def withdraw(self, request: Request, attempt: int) -> None:
@@ -157,7 +164,10 @@
         self.gateway.counters.ends[end.name] += 1
         outcome, call = OUTCOMES[end], sent.call
         if call is None:
-            self._health_check_ended(sent.backend, outcome, reply)
+            if sent.confirms is None:
+                self._health_check_ended(sent.backend, outcome, reply)
+            elif end in CONFIRMS_CANCELLATION:
+                self._cancellation_confirmed(sent.confirms)
             return
         waited_here = max(0, self.clock.monotonic_time - reply.read_at) if reply.read_at else 0
         duration = max(0, self.clock.time - sent.at - waited_here)
@@ -203,6 +213,12 @@
         else:
             self.loop.call_at(confirmed_at, self.attempt_ended, sent, end)
 
+    def _cancellation_confirmed(self, cancelled: Attempt) -> None:
+        """A backend has read the cancellation of an attempt: report its end now."""
+        pending = self.loop.take_call(self.attempt_ended, cancelled)
+        if pending is not None:
+            self.attempt_ended(*pending.arguments)
+
     def attempt_timed_out(self, sent: Attempt) -> None:
         """The time of an attempt or a health check is up."""
         if sent.connection is not None:
--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -83,6 +83,15 @@
         self.timer_count += 1
         heapq.heappush(self.timers, ScheduledCall(at, self.timer_count, callback, arguments, self.clock.time))
 
+    def take_call(self, callback: Callback, argument: Any) -> ScheduledCall | None:
+        """Take out the timer that would make a call with this first argument; None where there is none."""
+        for place, call in enumerate(self.timers):
+            if call.callback == callback and call.arguments[0] is argument:
+                del self.timers[place]
+                heapq.heapify(self.timers)
+                return call
+        return None
+
     def defer(self, callback: Callback, *arguments: Any) -> None:
         """Have a call made once the current callback has returned, before anything else."""
         self.deferred.append(Event(callback, arguments))
--- a/lilacloft/net/attempt.py
+++ b/lilacloft/net/attempt.py
@@ -39,12 +39,15 @@
     data: bytes  # the encoded message
     position: int = field(default=0, init=False)  # where it ends in its connection's stream
     at: Ticks  # when it was made, by the gateway's clock
+    passed_on_at: Ticks = field(default=0, init=False)  # to its connection, by the same clock; 0: not known
     encoded_at: Ticks = 0  # when `data` was encoded
     time_limit: Ticks = 0  # the time limit that `data` holds
     deadline: Ticks = 0  # when it times out
     send_by: Ticks = 0  # from when on it may not be sent, if it was not before
     window_over: Ticks = 0  # when its idempotency window ends
     expired_unsent: bool = field(default=False, init=False)  # removed from the backlog, as it had expired
+    confirmation: Attempt | None = field(default=None, init=False)  # the health check behind its cancellation
+    confirms: Attempt | None = field(default=None, init=False)  # of a health check: the cancelled attempt
 
     def has_waited(self, now: Ticks) -> bool:
         """Has it waited since it was encoded, so that what was decided then may hold no more?"""
--- a/lilacloft/net/upstream.py
+++ b/lilacloft/net/upstream.py
@@ -61,6 +61,7 @@
         self.idle_timeout = max(keepalive - self.connect_timeout, keepalive // 2)  # before backends close
         self.max_connections = max_connections  # of all pools
         self.load_names = config["stats"]["names"]
+        self.may_check = bool(limits["probes"])  # are health checks allowed?
         self.invariants = Invariants(config)
         self.write_soon: Callable[[Connection], None] = Connection.resume_writing
         self.closes: Counter[str] = Counter()  # closed connections, by the reason's name
@@ -129,24 +130,30 @@
         connection = pool.connection_for(attempt) if pool else None
         if connection is None:
             return CloseReason.NO_LINE
+        self._send(connection, attempt)
+        return None
+
+    def _send(self, connection: UpstreamConnection, attempt: Attempt) -> None:
+        """Send an attempt or a health check on a connection."""
         attempt.connection = connection
         connection.in_flight[attempt.name] = attempt
-        connection.last_used_at = self.now()
+        connection.last_used_at = attempt.passed_on_at = self.now()
         if attempt.call:
             attempt.call.connections.append(connection)
         attempt.position = connection.send(attempt.data)
         self.counts["dispatches" if attempt.call else "checks"] += 1
-        return None
 
     def check(self, backend: Backend) -> tuple[Attempt, CloseReason | None]:
         """Send a health check, which requests a load report where the settings name any.
 
         Returns the attempt and the result of `dispatch`."""
+        attempt = self._make_check(backend, b"top" if self.load_names else b"ping")
+        return attempt, self.dispatch(attempt)
+
+    def _make_check(self, backend: Backend, verb: bytes) -> Attempt:
         self.checks += 1
         name = b"%d" % self.checks
-        message = encode(b"top" if self.load_names else b"ping", name)
-        attempt = Attempt(None, backend, 0, name, message, self.now())
-        return attempt, self.dispatch(attempt)
+        return Attempt(None, backend, 0, name, encode(verb, name), self.now())
 
     # --- cancelling ---
 
@@ -165,30 +172,51 @@
         if self.withdraw(attempt):
             self.attempt_ended(attempt, CloseReason.UNWRITTEN)
 
-    def cancel(self, attempt: Attempt) -> Ticks:
+    def cancel(self, attempt: Attempt, confirm: bool = False) -> Ticks:
         """Cancel an attempt, before anything else is sent for its request.
 
-        Returns from when on that may be: messages on two connections may be read in either order, and those
-        on a new connection only once the backend has accepted it."""
+        Returns from when on that may be: messages on two connections may be read in either order, those on a
+        new connection only once the backend has accepted it, and those on a slow link only after its delay.
+        With `confirm`, a slow link carries a health check (`attempt.confirmation`) behind the cancellation:
+        once that is answered, the backend has read both."""
         connection, now = attempt.connection, self.now()
         if connection is None:
             return now
         if self.withdraw(attempt):
             return now
         self._detach(connection, attempt)
-        confirmed_at = now + self.answer_slack
+        confirmed_at = self._backend_knows_at(connection)
         if not connection.last_read_at:
             confirmed_at = max(confirmed_at, connection.created_at + self.connect_timeout)
         if connection.close_reason is not None:
             return confirmed_at
         if attempt.call:
             self._send_undo(connection, attempt)
+        if confirm and self._is_slow(connection):
+            self._send_confirmation(connection, attempt)
         if connection.last_read_at < attempt.at and self.now() - attempt.at > self.connect_timeout:
             connection.retiring = True  # nothing came in meanwhile: the next attempt uses a new one
             if not connection.in_flight:
                 connection.close(CloseReason.SILENT)
         return confirmed_at
 
+    def _backend_knows_at(self, connection: UpstreamConnection) -> Ticks:
+        """By when a backend has read what is sent on a connection now, or its end."""
+        now = self.now()
+        return now + max(self.answer_slack, connection.pool.link_delay.expected(now))
+
+    def _is_slow(self, connection: UpstreamConnection) -> bool:
+        """Does the link of a connection delay messages for longer than is waited anyway?"""
+        return connection.pool.link_delay.expected(self.now()) > self.answer_slack
+
+    def _send_confirmation(self, connection: UpstreamConnection, attempt: Attempt) -> None:
+        """Send a health check behind the cancellation of an attempt, on the same connection."""
+        if connection.close_reason is not None or not self.may_check:
+            return
+        check = self._make_check(attempt.backend, b"ping")
+        attempt.confirmation, check.confirms = check, attempt
+        self._send(connection, check)
+
     def _send_undo(self, connection: UpstreamConnection, attempt: Attempt) -> None:
         """Send the cancellation; a connection that does not take it at once is closed instead."""
         self.counts["undone"] += 1
@@ -218,7 +246,7 @@
 
     def answered(self, connection: UpstreamConnection, name: bytes, word: bytes, reply: Reply) -> None:
         """Find the attempt or health check that an answer ends, and report its end."""
-        connection.last_read_at = self.now()
+        has_answered, connection.last_read_at = connection.last_read_at > 0, self.now()
         attempt = connection.in_flight.get(name)
         if attempt is None:
             self.counts["unknown"] += 1
@@ -228,9 +256,18 @@
             connection.close(CloseReason.GARBLED)  # no answer to this message: the attempts in flight end too
             return
         self.counts["answers"] += 1
+        if has_answered and attempt.passed_on_at:  # the first one may have waited for the connection
+            self._record_link_delay(connection, attempt, reply)
         self._detach(connection, attempt)
         self.attempt_ended(attempt, reason, reply)
 
+    def _record_link_delay(self, connection: UpstreamConnection, attempt: Attempt, reply: Reply) -> None:
+        """Record what an answer shows of its link. That it waited here since it was read shows nothing."""
+        waited_here = max(0, time.monotonic_ns() // NS_PER_TICK - reply.read_at)
+        work = reply.queued + int(attempt.call.request.transfer_time) if attempt.call else 0
+        now = self.now()
+        connection.pool.link_delay.record(now - attempt.passed_on_at - waited_here - work, now)
+
     def connection_lost(self, connection: UpstreamConnection) -> None:
         """A connection has ended, and with it all attempts in flight on it."""
         if connection in connection.pool.connections:
@@ -242,7 +279,7 @@
         for attempt in in_flight.values():
             reason = self._reason_of_loss(connection, attempt)
             if reason in BACKEND_MAY_NOT_KNOW:  # as in `cancel`
-                self.attempt_cancelled(attempt, reason, self.now() + self.answer_slack)
+                self.attempt_cancelled(attempt, reason, self._backend_knows_at(connection))
             else:
                 self.attempt_ended(attempt, reason)
 
--- a/lilacloft/net/upstream_pool.py
+++ b/lilacloft/net/upstream_pool.py
@@ -10,6 +10,7 @@
 from lilacloft.net.attempt import Attempt
 from lilacloft.net.close_reasons import CloseReason
 from lilacloft.net.connection import Connection, ConnectTarget
+from lilacloft.routing.link_delay import LinkDelay
 from lilacloft.routing.model import Backend
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
@@ -80,6 +81,7 @@
         self.backend, self.address, self.upstream = backend, address, upstream
         self.backend_started = backend.started
         self.connections: list[UpstreamConnection] = []
+        self.link_delay = LinkDelay()
 
     def connection_for(self, attempt: Attempt) -> UpstreamConnection | None:
         """A connection for an attempt: the one idle for the shortest time, else a new one, else the one with
