No copy is taken that may be older than a purge that stands unread in the change log

Cause: a purge counts as told once it is in the change log. Gateway.run (gateway.py, `front.start`, then `feed.start`) served before it read the log, and Freshness.max_age knew read purges only. The same held after a connection to the log ended, after discovery was moved, after a log came back, in a handover's receiver and at a start with a store.

Why this works: until the log was read to its end (the first empty frame of a connection), CatchUp (routing/catch_up.py) lets only copies pass that are younger than half of the purge's grace (`obeyAfterNs`, read from now on; without it, next to none). Each of those was made after any purge that was told longer ago than the grace. An attempt that has to be filled anew for it counts as one that expects a fill. The watch reports each change through the event loop's queue, behind the events that came before, with the log it is of, so that a late word of a log that was left proves nothing. The limit does not hold while connections are refused or not made in 0.5 s, and for 3 s in all until the log was read again. Not to serve meanwhile was weighed and left: gateways would be unready for as long as discovery is silent.

The stand-in change log sends an empty frame behind what it holds, as the protocol has it each second; worlds wait until it was read, so that tests of full ages begin after the catch-up.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from loguru import logger
+
 from lilacloft.clock_offset import ClockOffset, WatchContext
 from lilacloft.gateway.clock import TICKS_PER_MILLISECOND
 from lilacloft.gateway.configuration import parse_address
 from lilacloft.gateway.context import GatewayContext
 from lilacloft.net.discovery_events import DiscoveryEvent, EndpointEntry
-from lilacloft.net.discovery_watch import DiscoveryWatch, WatchStatus
+from lilacloft.net.discovery_watch import DiscoveryWatch, WatchChange, WatchStatus, WatchTarget
 from lilacloft.routing.host import Endpoint, ListMode
 from lilacloft.routing.model import Backend
 
@@ -32,8 +34,14 @@
             self.last_applied_event,
             self._event_received,
             configuration.name,
+            self._watch_changed,
         )
 
+    def start(self) -> None:
+        """Follow the change log: what it holds beyond the configuration is not known yet."""
+        self.gateway.router.discovery_begins()
+        self.gateway.feed.start()
+
     def apply_configured_events(self, events: list[DiscoveryEvent]) -> None:
         """Apply the events that the configuration has: purges first, as they tell the state of the change
         log's clock."""
@@ -54,6 +62,26 @@
         if gateway.recorder:
             gateway.loop.post(gateway.recorder.discovery_event, event, number)
 
+    def _watch_changed(self, change: WatchChange, target: WatchTarget) -> None:
+        """Post a change of the watch, behind the events that came before it; in the change log's thread."""
+        self.gateway.loop.post(self._apply_watch_change, change, target)
+
+    def _apply_watch_change(self, change: WatchChange, target: WatchTarget) -> None:
+        """Report to the router how far the change log was read. What came of a log that was followed before
+        says nothing of the one that is followed now."""
+        gateway = self.gateway
+        if target != gateway.feed.target:
+            return
+        if change is WatchChange.CONNECTED:
+            gateway.router.discovery_connected()
+        elif change is WatchChange.CAUGHT_UP:
+            gateway.router.discovery_caught_up()
+            logger.info("change log: read to its end, event {}", gateway.feed.last)
+        elif change is WatchChange.INTERRUPTED:
+            gateway.router.discovery_interrupted()
+        else:
+            gateway.router.discovery_unreachable()
+
     def apply_event(
         self, event: DiscoveryEvent, mode: str | None = None, feed_state: WatchStatus | None = None
     ) -> None:
--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -121,9 +121,9 @@
     def run(self) -> None:
         """Serve until the process has been told to end and nothing is owed any more."""
         self.lifecycle.enter(Phase.SERVING)
+        self.discovery.start()
         self.front.start()
         logger.info("serving on {} with {} bes listed", self.configuration.listen, len(self.backends))
-        self.feed.start()
         self.run_maintenance()
         self.heartbeat()
         self.loop.run(self.lifecycle.is_finished)
--- a/lilacloft/gateway/reload.py
+++ b/lilacloft/gateway/reload.py
@@ -30,7 +30,8 @@
     gateway.budgets = found
     gateway.front.max_clients, gateway.back.max_connections = found.clients, found.caches
     gateway.limits = config["limits"]
-    gateway.feed.move(changelog)
+    if gateway.feed.move(changelog):
+        gateway.router.discovery_begins()
     logger.info(
         "the configuration was read again{}",
         "; changed, but kept till a restart: " * bool(ignored) + ", ".join(ignored),
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -13,6 +13,7 @@
 import time
 import zlib
 from collections.abc import Callable
+from enum import Enum, auto
 from typing import NamedTuple, TypeAlias
 
 from loguru import logger
@@ -34,9 +35,33 @@
 MAX_BACKOFF = HEARTBEAT_INTERVAL / 2
 HASH_MULTIPLIER = 0x9E3779B1  # odd, near 2**32 divided by the golden ratio
 
+Address: TypeAlias = tuple[str, int]  # host and port
 EventHandler: TypeAlias = Callable[[DiscoveryEvent, int], None]  # an event and its number
 
 
+class WatchChange(Enum):
+    """How the watch's hold on the change log has changed."""
+
+    CONNECTED = auto()  # the log has accepted a connection, and has told nothing on it yet
+    CAUGHT_UP = auto()  # all events that had waited were handed on
+    INTERRUPTED = auto()  # the connection has ended
+    UNREACHABLE = auto()  # a connection was refused, or not made in time
+
+
+class WatchTarget(NamedTuple):
+    """Which change log is followed."""
+
+    address: Address
+    move: int  # how often the watch was moved before; an address may come back
+
+
+ChangeHandler: TypeAlias = Callable[[WatchChange, WatchTarget], None]  # a change, and of which log
+
+
+def ignore_change(_change: WatchChange, _target: WatchTarget) -> None:
+    """Do nothing: the handler of a watch whose changes do not matter."""
+
+
 class WatchStatus(NamedTuple):
     """How current the watch is."""
 
@@ -48,31 +73,40 @@
     """Follows the change log in a thread of its own."""
 
     def __init__(
-        self, address: tuple[str, int], last: int, on_event: EventHandler, gateway: str = ""
+        self,
+        address: Address,
+        last: int,
+        on_event: EventHandler,
+        gateway: str = "",
+        on_change: ChangeHandler = ignore_change,
     ) -> None:
-        """`last`: the number of the last event that is there already; `on_event`: called in the watch's
-        thread; `gateway`: the gateway's name, which spreads the reconnections of a fleet over time."""
-        self.address, self.last, self.on_event, self.gateway = address, last, on_event, gateway
+        """`last`: the number of the last event that is there already; `on_event`, `on_change`: called in the
+        watch's thread, in the order in which things happen; `gateway`: the gateway's name, which spreads the
+        reconnections of a fleet over time."""
+        self.target = WatchTarget(address, 0)
+        self.last, self.on_event, self.gateway, self.on_change = last, on_event, gateway, on_change
         self.connects = self.events = 0  # connections made, events handed on
         self.status = WatchStatus(time.monotonic_ns() // NS_PER_TICK, current=False)
         self.address_changed = threading.Event()
-        self.gate = threading.Lock()  # held while an event is handed on; who holds it stops all events
+        self.gate = threading.Lock()  # held while something is handed on; who holds it stops all that
         self.sock: socket.socket | None = None
 
     def start(self) -> None:
         """Start the thread."""
         threading.Thread(target=self._run, daemon=True).start()
 
-    def move(self, address: tuple[str, int]) -> None:
-        """Follow the log at another address from now on, after the last event; from the gateway's thread."""
-        if address == self.address:
-            return
-        self.address = address
+    def move(self, address: Address) -> bool:
+        """Follow the log at another address from now on, after the last event; from the gateway's thread.
+        Returns whether it is another one."""
+        if address == self.target.address:
+            return False
+        self.target = WatchTarget(address, self.target.move + 1)
         self.address_changed.set()
         sock = self.sock
         if sock is not None:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)  # wakes the thread: the old connection brings nothing more
+        return True
 
     def _run(self) -> None:
         backoff, is_logged = MIN_BACKOFF, False
@@ -100,17 +134,33 @@
 
     def _follow(self) -> None:
         """Follow the log on one connection, until it ends with an error."""
-        with socket.create_connection(self.address, CONNECT_TIMEOUT) as sock:
+        target = self.target
+        with self._connect(target) as sock:
             self.sock = sock
             if self.address_changed.is_set():  # since the loop began: this may be the old address
                 return
             sock.sendall(RESUME.pack(self.last))
             self.connects += 1
             self.status = self.status._replace(current=False)
-            while True:
-                self._receive(sock)
+            self._report(WatchChange.CONNECTED, target)
+            try:
+                while True:
+                    self._receive(sock, target)
+            finally:
+                self._report(WatchChange.INTERRUPTED, target)
+
+    def _connect(self, target: WatchTarget) -> socket.socket:
+        try:
+            return socket.create_connection(target.address, CONNECT_TIMEOUT)
+        except (ConnectionRefusedError, TimeoutError):  # other errors are this machine's and may pass
+            self._report(WatchChange.UNREACHABLE, target)
+            raise
+
+    def _report(self, change: WatchChange, target: WatchTarget) -> None:
+        with self.gate:
+            self.on_change(change, target)
 
-    def _receive(self, sock: socket.socket) -> None:
+    def _receive(self, sock: socket.socket, target: WatchTarget) -> None:
         """Read one frame, and hand its event on if it is new."""
         deadline = time.monotonic() + MAX_SILENCE * (1 + self._jitter() / 10)
         length, number, kind = HEADER.unpack(read_before(sock, HEADER.size, deadline))
@@ -123,8 +173,10 @@
                 self.last = number
                 self.events += 1
                 self.on_event(event, number)
-            now, is_current = time.monotonic_ns() // NS_PER_TICK, self.status.current or event is None
-            self.status = WatchStatus(now, is_current)
+            was_current = self.status.current
+            self.status = WatchStatus(time.monotonic_ns() // NS_PER_TICK, was_current or event is None)
+            if self.status.current and not was_current:
+                self.on_change(WatchChange.CAUGHT_UP, target)
 
     def _jitter(self) -> float:
         """Return a number from 0 to 1 by name and connection, so that gateways that lose the log at once do
--- a/lilacloft/routing/freshness.py
+++ b/lilacloft/routing/freshness.py
@@ -1,7 +1,8 @@
 """Freshness: how old a copy may be, where one is likely to lie, and which request has it revalidated.
 
-A copy older than a known purge is never served. One request an object part and fresh time
-revalidates the copy behind its answer; the others take copies within the grace time.
+A copy older than a known purge is never served, nor one that may be older than a purge not read yet
+(catch_up.py). One request an object part and fresh time revalidates the copy behind its answer; the others
+take copies within the grace time.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import math
 from collections.abc import Sequence
 
+from lilacloft.routing.catch_up import CatchUp
 from lilacloft.routing.model import Backend, ObjectPart, PartKey, Request
 from lilacloft.routing.units import Ticks
 from lilacloft.routing.virtual_host import VirtualHost
@@ -20,12 +22,16 @@
 class Freshness:
     """The table of object parts and the purges that this gateway knows."""
 
-    def __init__(self, virtual_hosts: Sequence[VirtualHost], purge_lifetime: Ticks) -> None:
-        """Make an empty table. A purge is remembered for `purge_lifetime`."""
+    def __init__(
+        self, virtual_hosts: Sequence[VirtualHost], purge_lifetime: Ticks, purge_grace: Ticks = 0
+    ) -> None:
+        """Make an empty table. A purge is remembered for `purge_lifetime`, and must be heeded from
+        `purge_grace` after it was told."""
         self.virtual_hosts = virtual_hosts
         self.purge_lifetime = purge_lifetime
         self.object_parts: dict[PartKey, ObjectPart] = {}  # least recently asked for first
         self.purges: dict[str | int, Ticks] = {}  # when purged; objects by key, groups by number
+        self.catch_up = CatchUp(purge_grace)
 
     def record_request(self, part_key: PartKey) -> ObjectPart:
         """Return the entry of an object part that is asked for, which is now the most recent one."""
@@ -60,7 +66,12 @@
         ]
         if purges and now - max(purges) <= self.purge_lifetime:
             age = min(age or math.inf, max(1, now - max(purges) - 1))
-        return age
+        unread_limit = self._max_age_unread(request, now)
+        return min(age or unread_limit, unread_limit) if unread_limit else age
+
+    def _max_age_unread(self, request: Request, now: Ticks) -> Ticks:
+        """Return the age of the oldest copy that will do for the sake of unread purges; 0: any will."""
+        return 0 if request.object_part is None else self.catch_up.max_age(now)
 
     def likely_cached(self, request: Request, backend: Backend, now: Ticks) -> bool:
         """Return whether a backend likely has a copy that will do, by this gateway's own requests."""
@@ -71,6 +82,9 @@
             return False
         if vhost.fresh and now - object_part.filled_at > vhost.fresh + vhost.grace:
             return False
+        unread_limit = self._max_age_unread(request, now)
+        if unread_limit and now - object_part.filled_at > unread_limit:
+            return False
         purged_at = max(self.purges.get(request.key, 0), self.purges.get(request.purge_group, 0))
         return purged_at < object_part.filled_at
 
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -188,6 +188,28 @@
     def _is_current(request: Request, attempt: int) -> bool:
         return request.in_flight and attempt == request.attempts - 1
 
+    # --- the change log ---
+
+    def discovery_begins(self) -> None:
+        """The change log is read from now on: at a start, or at another address."""
+        self.freshness.catch_up.begin(self.host.now())
+
+    def discovery_connected(self) -> None:
+        """A connection to the change log was made."""
+        self.freshness.catch_up.connected(self.host.now())
+
+    def discovery_caught_up(self) -> None:
+        """All that the change log had held was read and reported here."""
+        self.freshness.catch_up.caught_up()
+
+    def discovery_interrupted(self) -> None:
+        """The connection to the change log has ended."""
+        self.freshness.catch_up.interrupted(self.host.now())
+
+    def discovery_unreachable(self) -> None:
+        """No connection to the change log could be made."""
+        self.freshness.catch_up.unreachable(self.host.now())
+
     # --- purges, health, time ---
 
     def object_purged(self, key: str, group: int, age: Ticks) -> None:
--- a/lilacloft/routing/rules.py
+++ b/lilacloft/routing/rules.py
@@ -65,7 +65,7 @@
             plan=plan,
             placement=Rendezvous(),
             slow_start=SlowStart(settings, pools, virtual_hosts, plan),
-            freshness=Freshness(virtual_hosts, settings.purge_lifetime),
+            freshness=Freshness(virtual_hosts, settings.purge_lifetime, settings.purge_grace),
             load_reports=LoadReports(settings),
             deadlines=DeadlineQueue(host),
             link_limit=link_limit,
--- a/lilacloft/routing/settings.py
+++ b/lilacloft/routing/settings.py
@@ -35,6 +35,7 @@
     bypass_allowed: bool  # requests may go to parents and the origin past the caches
     collapsing: bool  # caches join requests for the same object part into one fill
     purge_lifetime: Ticks  # after which no copy from before a purge is left
+    purge_grace: Ticks  # from when it was told until a purge must be heeded
     cache_slow_start: SlowStartProfile
     parent_slow_start: SlowStartProfile
     tick: Ticks  # granularity of the gateway's clock
@@ -66,6 +67,7 @@
             bypass_allowed=family["pass_through_ok"],
             collapsing=family["joins"],
             purge_lifetime=family["purge_done"] + 1,
+            purge_grace=family.get("obey_after", 0),
             cache_slow_start=SlowStartProfile(
                 rules["start_capacity"], rules["cold"] + 1, rules["tip_multiple"]
             ),
--- a/lilacloft/settings_validation.py
+++ b/lilacloft/settings_validation.py
@@ -119,6 +119,7 @@
         "passThroughOk": (FLAG, REQUIRED),
         "joins": (FLAG, REQUIRED),
         "purgeDoneNs": (DURATION, REQUIRED),
+        "obeyAfterNs": (DURATION, 0),
         "parentFloor": (AMOUNT, REQUIRED),
         "parentWarmsInNs": (DURATION, REQUIRED),
         "parentBreaksAt": (AMOUNT, REQUIRED),
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -122,6 +122,8 @@
 class Feed(Log):
     """The change log as one party reaches it: bes stand at the ports that it has for them."""
 
+    beats_at_once = False
+
     def __init__(self, ports: dict[str, int]) -> None:
         self.ports = ports
         super().__init__()
--- a/rigs/inprocess.py
+++ b/rigs/inprocess.py
@@ -71,6 +71,9 @@
         self.thread = threading.Thread(target=self.owner.run, daemon=True)
         self.thread.start()
         self.log.since.get(timeout=5)
+        if self.log.released.is_set():
+            until(lambda: self.owner.feed.status.current)
+            self.does(lambda: None)  # what the change log's thread has posted is taken in
 
     def does(self, what):
         """The result of something done in the owner's thread, after all that was posted before."""
--- a/rigs/scene.py
+++ b/rigs/scene.py
@@ -283,6 +283,8 @@
 class ChangeLog(Log):
     """The change log of a scene: numbers events, and keeps an account of them."""
 
+    beats_at_once = False
+
     def __init__(self, scene: Scene) -> None:
         self.scene, self.number = scene, 1
         super().__init__()
--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -64,6 +64,7 @@
         "feedKbPerS": [40000.0, 0],
         "passThroughOk": False,
         "purgeDoneNs": 6000000000,
+        "obeyAfterNs": 300000000,
         "parentFloor": 0.06,
         "parentBreaksAt": 2.0,
         "parentWarmsInNs": 20000000000,
@@ -164,22 +165,37 @@
 
 
 class Log(Stand):
-    """The change log."""
+    """The change log. Who connects gets all later frames at once, and an empty one behind them."""
 
-    def __init__(self, frames=()):
+    beats_at_once = True  # else the first empty frame comes when the subclass sends it
+
+    def __init__(self, frames=(), port=0):
         self.frames, self.since = list(frames), queue.SimpleQueue()
         self.order, self.follow = threading.Lock(), []  # who has had all frames so far
-        super().__init__()
+        self.released = threading.Event()  # while it is not set, who connects is told nothing
+        self.released.set()
+        super().__init__(port=port)
+
+    def hold(self):
+        """Accept connections from now on, and tell nothing on them."""
+        self.released.clear()
 
     def _serve(self, sock):
         with contextlib.suppress(OSError, struct.error):
             last = struct.unpack(">Q", sock.recv(8, socket.MSG_WAITALL))[0]
+            is_held = not self.released.is_set()
+            if is_held:
+                self.since.put(last)
+                self.released.wait()
             with self.order:
                 for number, kind, payload in self.frames:
                     if number > last:
                         sock.sendall(framed(number, kind, payload))
+                if self.beats_at_once:
+                    sock.sendall(framed(0, 0))
                 self.follow.append(sock)
-            self.since.put(last)
+            if not is_held:
+                self.since.put(last)
 
     def add(self, *frame):
         with self.order:
@@ -310,12 +326,19 @@
         if self.descriptors is not None:
             words = ["sh", "-c", f'ulimit -n {self.descriptors}; exec "$@"', "sh", *words]
         self.process = subprocess.Popen(words, stderr=subprocess.PIPE, text=True)
-        for line in self.process.stderr:
+        awaited = {"serving on", *self.said_by_watch()}
+        while awaited:
+            line = self.process.stderr.readline()
+            assert line, f"the process ended: {self.early}"
             self.early.append(line)
-            if "serving on" in line:
-                break
+            awaited = {text for text in awaited if text not in line}
         self.log.since.get(timeout=5)
 
+    def said_by_watch(self):
+        """What a gateway says of the change log soon after its start: that it has read it to its end, or
+        could not reach it; nothing while the log is held."""
+        return ["change log: "] if self.log.released.is_set() else []
+
     def asker(self):
         return Asker(self.port, self.allow)
 
@@ -371,11 +394,13 @@
             str(self.settings),
             *self.words,
         ]
-        before = self.file.read_text().count("serving on") if self.file.exists() else 0
+        awaited = ["serving on", *self.said_by_watch()]
+        before = self.file.read_text() if self.file.exists() else ""
         with self.file.open("ab") as file:
             self.process = subprocess.Popen(self.command, stderr=file, stdin=subprocess.DEVNULL)
         self.pids.append(self.process.pid)
-        self.told("serving on", before + 1)
+        for text in awaited:
+            self.told(text, before.count(text) + 1)
         if not before:
             self.log.since.get(timeout=5)
 
