--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -72,15 +72,9 @@
         gateway = self.gateway
         if target != gateway.feed.target:
             return
-        if change is WatchChange.CONNECTED:
-            gateway.router.discovery_connected()
-        elif change is WatchChange.CAUGHT_UP:
-            gateway.router.discovery_caught_up()
+        if change is WatchChange.CAUGHT_UP:
             logger.info("change log: read to its end, event {}", gateway.feed.last)
-        elif change is WatchChange.INTERRUPTED:
-            gateway.router.discovery_interrupted()
-        else:
-            gateway.router.discovery_unreachable()
+        gateway.router.discovery_caught_up()
 
     def apply_event(
         self, event: DiscoveryEvent, mode: str | None = None, feed_state: WatchStatus | None = None
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -42,9 +42,7 @@
 class WatchChange(Enum):
     """How the watch's hold on the change log has changed."""
 
-    CONNECTED = auto()  # the log has accepted a connection, and has told nothing on it yet
     CAUGHT_UP = auto()  # all events that had waited were handed on
-    INTERRUPTED = auto()  # the connection has ended
     UNREACHABLE = auto()  # a connection was refused, or not made in time
 
 
@@ -142,12 +140,8 @@
             sock.sendall(RESUME.pack(self.last))
             self.connects += 1
             self.status = self.status._replace(current=False)
-            self._report(WatchChange.CONNECTED, target)
-            try:
-                while True:
-                    self._receive(sock, target)
-            finally:
-                self._report(WatchChange.INTERRUPTED, target)
+            while True:
+                self._receive(sock, target)
 
     def _connect(self, target: WatchTarget) -> socket.socket:
         try:
--- a/lilacloft/routing/catch_up.py
+++ b/lilacloft/routing/catch_up.py
@@ -1,12 +1,14 @@
 """Catch-up: how old a copy may be while the change log may hold purges that were not read yet.
 
-A purge counts as told once it is in the change log. A gateway that starts, reconnects, or follows the log at
-another address cannot know of purges before it has read the log to its end. Until then it accepts only copies
-that are younger than the grace within which a purge must be heeded: no purge counts against those yet.
-
-That costs fills, so it has an end: at once while connections to the log are refused or not made in time, as
-it cannot be read then; otherwise after `MAX_LIMITED_TIME` in all. A log that neither refuses nor tells
-anything would else have every cache filled anew for as long.
+A purge counts as told once it is in the change log. A gateway that starts, or follows the log at another
+address, cannot know of purges that its configuration has not before it has read the log to its end. Until
+then it accepts only copies that are younger than the grace within which a purge must be heeded: no purge
+counts against those yet.
+
+That costs fills, so it has an end: at once where a connection to the log is refused or not made in time, as
+it cannot be read then; otherwise after `MAX_LIMITED_TIME`. A log that neither refuses nor tells anything
+would else have every cache filled anew for as long. A connection that is made anew limits nothing: for as
+long as there was none nothing could be known, and discovery tells at once what has waited.
 """
 
 from __future__ import annotations
@@ -25,37 +27,16 @@
     def __init__(self, purge_grace: Ticks) -> None:
         """Start with nothing unread. `purge_grace`: within which a purge must be heeded."""
         self.max_age_unread = max(MIN_AGE, int(purge_grace * GRACE_SHARE))
-        self.is_caught_up = True
-        self.time_left: Ticks = 0  # for which ages may still be limited, as of `limited_from`
-        self.limited_from: Ticks | None = None  # None: they are not limited now
+        self.limited_until: Ticks = 0
 
     def begin(self, now: Ticks) -> None:
         """The log is read from now on: the gateway starts, or follows the log at another address."""
-        self.is_caught_up = False
-        self.time_left, self.limited_from = MAX_LIMITED_TIME, now
-
-    def interrupted(self, now: Ticks) -> None:
-        """The connection to the log has ended. One that had not caught up wins no new time."""
-        if self.is_caught_up:
-            self.begin(now)
-
-    def unreachable(self, now: Ticks) -> None:
-        """A connection to the log was refused, or not made in time: it cannot be read now."""
-        if self.limited_from is not None:
-            self.time_left = max(0, self.time_left - (now - self.limited_from))
-            self.limited_from = None
-
-    def connected(self, now: Ticks) -> None:
-        """There is a connection to the log, so that it can be read again."""
-        if not self.is_caught_up and self.limited_from is None:
-            self.limited_from = now
+        self.limited_until = now + MAX_LIMITED_TIME
 
-    def caught_up(self) -> None:
-        """The log was read to its end."""
-        self.is_caught_up, self.limited_from = True, None
+    def end(self) -> None:
+        """The log was read to its end, or cannot be read now."""
+        self.limited_until = 0
 
     def max_age(self, now: Ticks) -> Ticks:
         """Return the age of the oldest copy that no unread purge counts against; 0: any."""
-        if self.limited_from is None or now - self.limited_from >= self.time_left:
-            return 0
-        return self.max_age_unread
+        return self.max_age_unread if now < self.limited_until else 0
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -194,21 +194,9 @@
         """The change log is read from now on: at a start, or at another address."""
         self.freshness.catch_up.begin(self.host.now())
 
-    def discovery_connected(self) -> None:
-        """A connection to the change log was made."""
-        self.freshness.catch_up.connected(self.host.now())
-
     def discovery_caught_up(self) -> None:
-        """All that the change log had held was read and reported here."""
-        self.freshness.catch_up.caught_up()
-
-    def discovery_interrupted(self) -> None:
-        """The connection to the change log has ended."""
-        self.freshness.catch_up.interrupted(self.host.now())
-
-    def discovery_unreachable(self) -> None:
-        """No connection to the change log could be made."""
-        self.freshness.catch_up.unreachable(self.host.now())
+        """All that the change log had held was read and reported here, or it cannot be read now."""
+        self.freshness.catch_up.end()
 
     # --- purges, health, time ---
 
