The rigs date what clients and boxes read and write by the kernel, not by their threads

Seen: beside load the checker reported breaches that were the rig's own lateness: late answers written or read late by its client, `told too much` and `out twice` where a box read dispatches, undos and closes late.

Cause: rigs/load.py noted `req` before it wrote, `left` before the FORGET was written, and `answer` when its thread came to it; rigs/scene.py (Box._says, closed) dated do, undo and closed by its threads; rigs/checker.py judged by those times. `late` was told, not used.

The checker counts from `at` less `late`, and from `written`. What is sent again keeps the time that it had spent before (`crossed`). A box tells an undo also after its own end of the dispatch, which was over when its kernel had the undo. The client's second half is written under its lock. SLACK, GONE, TIME_SLACK, DRAIN and all other bounds are as they were.

Left: a dispatch that lay unread with its undo behind it in one segment is dated by the undo, which is the strict side for what is told, and still the rig's lateness; a relay's lag still counts.

--- a/rigs/boxes.py
+++ b/rigs/boxes.py
@@ -72,7 +72,7 @@
     """A box whose sources are elsewhere."""
 
     def _do(self, sock: socket.socket, number: int, ref: bytes, told: dict[str, str]) -> None:
-        key, part, age = self._taken(number, ref, told, of_gateway="fill" not in told)
+        key, part, age = self._taken(sock, number, ref, told, of_gateway="fill" not in told)
         if self.silent or (self.resets and self._answers_by_reset(sock, number)):
             return
         wait = self.slow + self.chance.expovariate(250)
--- a/rigs/checker.py
+++ b/rigs/checker.py
@@ -4,6 +4,9 @@
 It shares no code with the decision module: the rules stand here in their plainest words, on what was seen
 from the outside. Every breach names the rule, the time, who saw it, and what it was.
 
+What a party read counts from when its kernel had it, and a request from when its client's kernel had sent its
+last byte, where the entries say so: nobody is judged by when the rig's own threads came to things.
+
 1 one final answer a req, in the client's time; 2 no effect twice, no two dispatches out at once; 3 drains;
 4 cold caches; 5 purges.
 """
@@ -55,9 +58,35 @@
     """One dispatch as a box saw it."""
 
     def __init__(self, entry: Entry) -> None:
-        self.ref, self.backend, self.conn, self.began = entry["ref"], entry["who"], entry["conn"], entry["at"]
+        self.ref, self.backend, self.conn = entry["ref"], entry["who"], entry["conn"]
+        self.began = received(entry)
         self.over: float | None = None
-        self.word = ""  # how it ended: a word of the box's, undo, or closed
+        self.word = ""  # how it ended: a word of the box's, undo, closed, or died
+
+    def end(self, at: float, word: str) -> None:
+        """It is over. A box may have answered before it read that the dispatch had been given up: then it was
+        over before its answer, though it ran."""
+        if self.over is None:
+            self.over, self.word = at, word
+        self.over = min(self.over, at)
+
+
+def received(entry: Entry) -> float:
+    """When the kernel of an entry's party had what the entry tells of."""
+    return float(entry["at"] - entry.get("late", 0.0))
+
+
+def written_times(entries: list[Entry]) -> dict[str, Entry]:
+    """The last `written` entry of each request whose client tells when it was written."""
+    return {entry["ref"]: entry for entry in entries if entry["what"] == "written"}
+
+
+def due_time(request: Entry, written: dict[str, Entry]) -> float:
+    """The end of a client's time. One that was sent again has no more of it than it had when the connection
+    ended that it had been on."""
+    entry = written.get(request["ref"])
+    sent = entry["at"] - entry.get("crossed", 0.0) if entry else request["at"]
+    return float(sent + request["allow"])
 
 
 def check(entries: list[Entry], limits: Limits) -> list[Breach]:
@@ -65,9 +94,10 @@
     out: list[Breach] = []
     requests = {entry["ref"]: entry for entry in entries if entry["what"] == "req"}
     dispatches = _dispatches(entries)
-    out += _answers(entries, requests)
+    written = written_times(entries)
+    out += _answers(entries, requests, written)
     if limits.attempts:
-        out += _beginnings(entries, requests)
+        out += _beginnings(entries, requests, written)
     out += _effects(entries, requests, dispatches, limits)
     out += _drains(entries)
     out += _colds(entries, requests, limits)
@@ -76,29 +106,30 @@
 
 
 def _dispatches(entries: list[Entry]) -> dict[str, list[Dispatch]]:
+    """All dispatches by request, in the order in which they began. `entries` have the order in which their
+    parties read, so that each end is that of the last dispatch of its place."""
     found: dict[str, list[Dispatch]] = defaultdict(list)
-    out: dict[tuple[str, int, str], Dispatch] = {}
+    latest: dict[str, dict[int, dict[str, Dispatch]]] = defaultdict(lambda: defaultdict(dict))
     for entry in entries:
-        if entry["what"] == "do":
+        what, on_box = entry["what"], latest[entry["who"]]
+        if what == "do":
             one = Dispatch(entry)
             found[one.ref].append(one)
-            out[one.backend, one.conn, one.ref] = one
-        elif entry["what"] in ("end", "undo"):
-            one = out.pop((entry["who"], entry["conn"], entry["ref"]), None)
-            if one:
-                one.over, one.word = entry["at"], entry.get("word", "undo")
-        elif entry["what"] == "closed":
-            for place in [place for place in out if place[:2] == (entry["who"], entry["conn"])]:
-                one = out.pop(place)
-                one.over, one.word = entry["at"], "closed"
-        elif entry["what"] == "died":
-            for place in [place for place in out if place[0] == entry["who"]]:
-                one = out.pop(place)
-                one.over, one.word = entry["at"], "died"
-    return found
-
-
-def _answers(entries: list[Entry], requests: dict[str, Entry]) -> list[Breach]:
+            on_box[one.conn][one.ref] = one
+        elif what in ("end", "undo"):
+            if one := on_box[entry["conn"]].get(entry["ref"]):
+                one.end(received(entry), entry.get("word", "undo"))
+        elif what == "closed":
+            for one in on_box.pop(entry["conn"], {}).values():
+                one.end(received(entry), what)
+        elif what == "died":
+            for one in [one for by_ref in on_box.values() for one in by_ref.values()]:
+                one.end(received(entry), what)
+            on_box.clear()
+    return {ref: sorted(tries, key=lambda one: one.began) for ref, tries in found.items()}
+
+
+def _answers(entries: list[Entry], requests: dict[str, Entry], written: dict[str, Entry]) -> list[Breach]:
     """Rule 1."""
     out, answered, left = [], {}, {}
     for entry in entries:
@@ -115,34 +146,31 @@
             if ref in answered:
                 out.append(Breach(1, entry["at"], entry["who"], f"{ref} answered twice"))
             answered[ref] = entry["at"]
-            request = requests[ref]
-            if entry["at"] > request["at"] + request["allow"] + SLACK:
-                late = entry["at"] - request["at"] - request["allow"]
-                out.append(Breach(1, entry["at"], entry["who"], f"{ref} answered {late:.3f} s too late"))
+            at, due = received(entry), due_time(requests[ref], written)
+            if at > due + SLACK:
+                out.append(Breach(1, at, entry["who"], f"{ref} answered {at - due:.3f} s too late"))
             if entry["word"] == "200" and not entry["whole"]:
                 out.append(Breach(1, entry["at"], entry["who"], f"{ref} served with what no cache made"))
     last = entries[-1]["at"] if entries else 0.0
     for ref, request in requests.items():
-        over = request["at"] + request["allow"] + SLACK
+        over = due_time(request, written) + SLACK
         if ref not in answered and ref not in left and over < last:
             out.append(Breach(1, over, request["who"], f"{ref} never answered"))
     return out
 
 
-def _beginnings(entries: list[Entry], requests: dict[str, Entry]) -> list[Breach]:
+def _beginnings(entries: list[Entry], requests: dict[str, Entry], written: dict[str, Entry]) -> list[Breach]:
     """The operators' terms on attempts, as parts of rule 1: none begins for who has left, and none is told
     more time than its client has. That counts from when the request was written, where its client says so."""
-    out, left = [], {}
-    written = {entry["ref"]: entry["at"] for entry in entries if entry["what"] == "written"}
+    out: list[Breach] = []
+    left = {entry["ref"]: entry["at"] for entry in reversed(entries) if entry["what"] == "left"}
     for entry in entries:
-        if entry["what"] == "left":
-            left[entry["ref"]] = entry["at"]
-        elif entry["what"] == "do" and entry["ref"] in requests:
-            ref, at, request = entry["ref"], entry["at"], requests[entry["ref"]]
+        if entry["what"] == "do" and entry["ref"] in requests:
+            ref, at, request = entry["ref"], received(entry), requests[entry["ref"]]
             if ref in left and at > left[ref] + GONE + SLACK:
                 late = at - left[ref]
                 out.append(Breach(1, at, entry["who"], f"{ref} begun {late:.3f} s after its client left"))
-            over = entry.get("limit", 0.0) - (written.get(ref, request["at"]) + request["allow"] - at)
+            over = entry.get("limit", 0.0) - (written.get(ref, request)["at"] + request["allow"] - at)
             if "limit" in entry and over > TIME_SLACK:
                 out.append(Breach(1, at, entry["who"], f"{ref} told {over:.3f} s more than its client has"))
     return out
@@ -199,9 +227,9 @@
         elif entry["what"] == "do":
             for backend in (entry["who"], entry.get("next")):
                 state, at = told.get(backend, ("active", 0.0))
-                if state != "active" and entry["at"] > at + DRAIN + SLACK:
+                if state != "active" and received(entry) > at + DRAIN + SLACK:
                     way = "sent to" if backend == entry["who"] else f"{entry['who']} told to fill from"
-                    out.append(Breach(3, entry["at"], backend, f"{entry['ref']} {way} a {state} be"))
+                    out.append(Breach(3, received(entry), backend, f"{entry['ref']} {way} a {state} be"))
     return out
 
 
@@ -211,19 +239,20 @@
     out = []
     started: dict[str, tuple[float, float, str]] = {}
     sent: dict[str, list[tuple[float, float]]] = defaultdict(list)
-    for entry in entries:
+    for entry in sorted(entries, key=received):
+        came_at = received(entry)
         if entry["what"] == "listed" and entry["started"]:
             started[entry["backend"]] = (entry["started"], entry["capacity"], entry["kind"])
         elif entry["what"] == "do":
             for backend in {entry["who"], entry.get("next")} & started.keys():
                 at, capacity, kind = started[backend]
                 floor, warm, multiple = limits.cold[kind]
-                age = entry["at"] - at
+                age = came_at - at
                 if age >= warm:
                     continue
                 work = requests[entry["ref"]]["kbytes"] / limits.pace if entry["ref"] in requests else 0.0
-                sent[backend].append((entry["at"], work))
-                first = bisect.bisect_left(sent[backend], (entry["at"] - limits.fall, 0.0))
+                sent[backend].append((came_at, work))
+                first = bisect.bisect_left(sent[backend], (came_at - limits.fall, 0.0))
                 load = sum(work for _, work in sent[backend][first:])
                 most = multiple * (floor + (1 - floor) * age / warm) * capacity * limits.fall
                 if limits.chance and work:
@@ -231,7 +260,7 @@
                     most += work * (2 * calls**0.5 + 2 if calls >= 30 else 3 * calls**0.5 + 3)
                 if load > most:
                     text = f"cold for {age:.2f} s, sent {load:.2f} s of work in {limits.fall:g} s"
-                    out.append(Breach(4, entry["at"], backend, f"{text}, {most:.2f} can be borne"))
+                    out.append(Breach(4, came_at, backend, f"{text}, {most:.2f} can be borne"))
     return out
 
 
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -39,7 +39,7 @@
 from lilacloft.emulator.planes import Planes, Trouble
 from lilacloft.emulator.worlds import SECOND, World
 from rigs.account import Account
-from rigs.checker import Breach, check
+from rigs.checker import Breach, check, received
 from rigs.failover import SCRIPTS
 from rigs.load import Load
 from rigs.scene import FAMILY, STATES, VHOSTS, Gateway, Scene, Timers
@@ -636,11 +636,10 @@
 
     def _unknowing(self, entry: dict[str, Any], name: str | None) -> bool:
         """Was a dispatch sent by a gateway that could not know of its boxes' last starts?"""
+        sent_at = received(entry)
         for backend in (entry["who"], entry.get("next")):
-            births = [at for other, at in self.births if other == backend and at - LONGEST <= entry["at"]]
-            if births and (
-                entry["at"] <= births[-1] + TOLD or self._unlogged(name, entry["at"] - TOLD, entry["at"])
-            ):
+            births = [at for other, at in self.births if other == backend and at - LONGEST <= sent_at]
+            if births and (sent_at <= births[-1] + TOLD or self._unlogged(name, sent_at - TOLD, sent_at)):
                 return True
         return False
 
--- a/rigs/lateness.py
+++ b/rigs/lateness.py
@@ -2,6 +2,9 @@
 counters.
 
 A report of it judges nothing: it tells whose threads got too little processor time while a rule was broken.
+The checker counts what clients and boxes read from when their kernels had it, so their lags alone break no
+rule. But a dispatch that lay unread with its undo behind it is dated by that, and a relay's lag is part of
+what it carries.
 """
 
 from __future__ import annotations
--- a/rigs/load.py
+++ b/rigs/load.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lilacloft.net.resp import MessageBuffer, encode, encode_fields
-from lilacloft.net.tcp_info import since_last_data
+from lilacloft.net.resp import encode, encode_fields
+from rigs.kernel_times import TimestampedBuffer, closed_by_peer_at, write_timed
 from rigs.scene import EFFECTS, Scene, whole
 
 CROSSES = 0.05  # seconds before a close within which a req may be sent again on a new connection
@@ -31,12 +31,13 @@
     vhost: str
     key: str
     part: int
-    sent: float
+    sent: float  # its last byte, at the earliest
     message: bytes
     again: bool = False
     counted: bool = False
     allow: float = 2.5  # seconds that its client waits
     whole: bool = True  # has its last byte been sent?
+    crossed: float = 0.0  # seconds that it was on a connection whose close it crossed
 
 
 class Link:
@@ -47,6 +48,7 @@
         self.sock = socket.create_connection(("127.0.0.1", port), 3.0)
         self.sock.settimeout(None)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.buffer = TimestampedBuffer(self.sock)
         self.lock = threading.Lock()
         self.open: dict[str, Asked] = {}
         self.forgotten: set[str] = set()
@@ -64,28 +66,25 @@
             self.open[tag.decode()] = asked
             if pause:
                 half = len(data) // 2
-                self._write(data[:half])
+                write_timed(self.sock, data[:half])
                 asked.sent, asked.whole = time.time() + pause, False
                 self.load.timers.after(pause, lambda: self._rest(asked, data[half:]))
             else:
                 self._whole(asked, data)
             self.used = time.monotonic()
 
-    def _write(self, data: bytes) -> None:
-        with contextlib.suppress(OSError):
-            self.sock.sendall(data)
-
     def _rest(self, asked: Asked, data: bytes) -> None:
         """The second half: only now it is a request, unless its connection has ended."""
-        if not self.over:
-            asked.sent, asked.whole = time.time(), True
-            self.load.accounted(asked, self.port)
-            self._whole(asked, data)
+        with self.lock:
+            if not self.over:
+                asked.sent, asked.whole = time.time(), True
+                self.load.accounted(asked, self.port)
+                self._whole(asked, data)
 
     def _whole(self, asked: Asked, data: bytes) -> None:
         """Write the last of a request. A busy rig may have got to that late: its time counts from then."""
-        self._write(data)
-        self.load.account.write("clients", "written", ref=asked.ref)
+        asked.sent = write_timed(self.sock, data)
+        self.load.account.write("clients", "written", at=asked.sent, ref=asked.ref, crossed=asked.crossed)
 
     def forget(self, ref: str) -> None:
         """Wait for a req no more."""
@@ -94,21 +93,20 @@
                 if asked.ref == ref:
                     del self.open[tag]
                     self.forgotten.add(tag)
-                    self.load.account.write("clients", "left", ref=ref)
+                    written_at = write_timed(self.sock, encode(b"FORGET", tag.encode()))
+                    self.load.account.write("clients", "left", at=written_at, ref=ref)
                     self.load.count("left")
-                    self._write(encode(b"FORGET", tag.encode()))
 
     def close(self) -> None:
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
 
     def _read(self) -> None:
-        buffer = MessageBuffer()
         with contextlib.suppress(OSError):
-            while buffer.read_from(self.sock):
-                while (items := buffer.next_message()) is not None:
+            while self.buffer.read_from(self.sock):
+                while (items := self.buffer.next_message()) is not None:
                     self._answer(items)
-        ended = time.time()
+        ended = closed_by_peer_at(self.sock)
         with self.lock:
             self.over = True
             left, self.open = list(self.open.values()), {}
@@ -120,7 +118,7 @@
             # a client cannot tell a close that its req crossed from a crash, so bookings are not sent again
             crossed = not asked.again and ended - asked.sent < CROSSES and not self.load.over
             if crossed and (self.load.bold or EFFECTS[asked.vhost] != "non-replayable"):
-                asked.again = True
+                asked.again, asked.crossed = True, max(0.0, ended - asked.sent)
                 self.load.again += 1
                 self.load.link(asked, fresh=True)
             else:
@@ -128,8 +126,8 @@
                 self.load.count("lost")
 
     def _answer(self, items: list[bytes]) -> None:
-        late = since_last_data(self.sock)
         now, tag = time.time(), items[0].decode()
+        received_at = self.buffer.received_at
         with self.lock:
             asked = self.open.pop(tag, None)
             done = self.alone and not self.open
@@ -147,9 +145,9 @@
             word=word,
             born=born,
             whole=born is not None,
-            late=late,
+            late=max(0.0, now - received_at),
         )
-        self.load.answered(asked, word, now)
+        self.load.answered(asked, word, received_at)
         if done:
             self.close()
         return None
--- a/rigs/scene.py
+++ b/rigs/scene.py
@@ -27,9 +27,9 @@
 from typing import Any
 
 from lilacloft.net.resp import encode, parse_fields
-from lilacloft.net.tcp_info import since_last_data
 from rigs.account import Account
 from rigs.checker import Limits
+from rigs.kernel_times import TimestampedBuffer, closed_by_peer_at, timestamp_received_bytes
 from rigs.stands import ENV, Log, Replaced, Stand, processes, record, unused
 
 KINDS = ["small", "large", "parent", "origin"]
@@ -126,36 +126,48 @@
         self.state, self.started = "active", 0.0
         self.open: dict[tuple[int, bytes], bool] = {}  # what waits for an answer
         self.numbers: dict[Any, int] = {}
-        self.lateness: dict[int, float] = {}  # by connection: seconds that its last message lay unread here
+        self.buffers: dict[socket.socket, TimestampedBuffer] = {}
         self.lock = threading.Lock()
         super().__init__(self._says, port)
+        timestamp_received_bytes(self.sock)
 
     def _serve(self, sock: socket.socket) -> None:
         with self.lock:
             self.numbers[sock] = len(self.numbers) + 1
         super()._serve(sock)
 
+    def new_buffer(self, sock: socket.socket) -> TimestampedBuffer:
+        """The read buffer of a new connection."""
+        buffer = self.buffers[sock] = TimestampedBuffer(sock)
+        return buffer
+
+    def _note(self, what: str, received_at: float, **told: Any) -> None:
+        """Account for what came at a time, by the kernel, and is read only now."""
+        now = time.time()
+        self.scene.account.write(self.name, what, at=now, late=max(0.0, now - received_at), **told)
+
     def closed(self, sock: socket.socket) -> None:
         """A connection has ended; what was open on it is given up."""
-        self._gives_up(self.numbers[sock])
+        self._gives_up(self.numbers[sock], closed_by_peer_at(sock))
+        self.buffers.pop(sock, None)
         sock.close()
 
-    def _gives_up(self, number: int) -> None:
+    def _gives_up(self, number: int, closed_at: float) -> None:
         """What is open on a connection is over. Before a reset of ours, as a gateway that has seen that may
         send elsewhere at once."""
         with self.lock:
             for place in [place for place in self.open if place[0] == number]:
                 del self.open[place]
-            self.scene.account.write(self.name, "closed", conn=number)
+            self._note("closed", closed_at, conn=number)
 
     def _says(self, stand: Stand, sock: socket.socket, items: list[bytes]) -> None:
         number, verb = self.numbers[sock], items[0]
-        self.lateness[number] = since_last_data(sock)
+        received_at = self.buffers[sock].received_at
         if verb == b"undo":
             with self.lock:
-                if self.open.pop((number, items[1]), None) is not None:
-                    late = self.lateness[number]
-                    self.scene.account.write(self.name, "undo", conn=number, ref=items[1].decode(), late=late)
+                self.open.pop((number, items[1]), None)
+                # also where the answer is out by now: the undo may have been here before it
+                self._note("undo", received_at, conn=number, ref=items[1].decode())
         elif verb in (b"top", b"ping"):
             if not self.silent:
                 busy = min(0.9, len(self.open) / 20)
@@ -165,7 +177,7 @@
             self._do(sock, number, items[1], parse_fields(items[2]))
 
     def _taken(
-        self, number: int, ref: bytes, told: dict[str, str], of_gateway: bool = True
+        self, sock: socket.socket, number: int, ref: bytes, told: dict[str, str], of_gateway: bool = True
     ) -> tuple[str, int, float]:
         """A dispatch has come, or another box's question; returns the object, its part, the oldest copy that
         will do."""
@@ -174,9 +186,9 @@
         with self.lock:
             self.open[number, ref] = True
             if of_gateway:
-                self.scene.account.write(
-                    self.name,
+                self._note(
                     "do",
+                    self.buffers[sock].received_at,
                     conn=number,
                     ref=ref.decode(),
                     vhost=told["profile"],
@@ -186,7 +198,6 @@
                     age=age,
                     replay=told.get("replay"),
                     limit=int(told["max"]) / 1000,
-                    late=self.lateness[number],
                 )
         return key, part, age
 
@@ -200,13 +211,13 @@
         """Is a dispatch answered by a reset of its connection? Then that is done."""
         if self.chance.random() >= self.resets:
             return False
-        self._gives_up(number)
+        self._gives_up(number, time.time())
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         sock.shutdown(socket.SHUT_RDWR)
         return True
 
     def _do(self, sock: socket.socket, number: int, ref: bytes, told: dict[str, str]) -> None:
-        key, part, age = self._taken(number, ref, told)
+        key, part, age = self._taken(sock, number, ref, told)
         if self.silent:
             return
         if self._answers_by_reset(sock, number):
--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -110,7 +110,7 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock):
-        buffer = MessageBuffer()
+        buffer = self.new_buffer(sock)
         with contextlib.suppress(OSError):
             while buffer.read_from(sock):
                 while items := buffer.next_message():
@@ -118,6 +118,10 @@
                     self.says(self, sock, items)
         self.closed(sock)
 
+    def new_buffer(self, sock):
+        """The read buffer of a new connection."""
+        return MessageBuffer()
+
     def closed(self, sock):
         """A connection has ended."""
 
