Of requests at a door that opens late, the first is not dated by the last byte of the second

Cause: ClientConnection.arrived_at dates a message with more behind it by the last byte, unless the process was paused within the last second, or lags. A worker that comes up beside load accepts clients later than a second after that pause; the loop has run meanwhile and knows of no lag.

Change: each accepted connection notes by the kernel since when it is up; where that is over 50 ms ago and input lies there, messages count from then until all that lay there has been read. No effect where the kernel tells nothing. Test: fails before (0.605 s, 0.15 allowed), with no pause and no lag known.

--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -24,6 +24,7 @@
 STALL_TIMEOUT = 3.0  # seconds after which, by the protocol, a client that sends nothing usable is closed
 RESEND_WINDOW = 0.05  # seconds before our close within which clients send a request again, by the protocol
 PREDECESSOR_DETECTION_DELAY: Ticks = 10_000  # how late the end of the previous process may be detected
+MAX_ACCEPT_DELAY: Ticks = 500  # a longer one counts where requests are dated; the kernel counts in jiffies
 POLL_INTERVAL = 0.02  # seconds
 
 
@@ -107,6 +108,7 @@
         self.moved = (0, self.used)  # bytes written, and since when no more were
         self.input_ended: Ticks | None = None  # earliest possible time, by the monotonic clock
         self.connected_at: Ticks = 0  # by the monotonic clock; 0: unknown
+        self.accepted_late = False  # may input have lain unread from then until it was accepted?
         self.emptied_at: Ticks = 0  # when all input had been read, by the monotonic clock; 0: unknown
         self.unread_since = (0.0, 0)  # when it was last read from, and since when there is unread input
         downstream.unclosed[self] = None
@@ -236,28 +238,31 @@
         return time.monotonic_ns() // NS_PER_TICK - int(since_last_data(self.sock) * TICKS_PER_SECOND)
 
     def note_connect_time(self) -> None:
-        """Note when it was connected, where it may have waited long to be accepted."""
-        gateway, now = self.downstream.gateway, time.monotonic_ns() // NS_PER_TICK
-        may_have_waited = gateway.paused_since() is not None or gateway.lag_margin.current(now)
-        if may_have_waited and (span := since_opened(self.sock)):
-            self.connected_at = now - int(span * TICKS_PER_SECOND)
+        """Note when it was connected, and whether it waited so long to be accepted that input lies there."""
+        now, span = time.monotonic_ns() // NS_PER_TICK, int(since_opened(self.sock) * TICKS_PER_SECOND)
+        if span:
+            self.connected_at = now - span
+        self.accepted_late = span > MAX_ACCEPT_DELAY and bool(poll_events(self.sock, select.POLLIN))
 
     def arrived_at(self) -> Ticks:
         """The earliest time at which the message just read may have arrived: with the last byte that the
         kernel received.
 
         Where more input follows, that says little: the message may have been there for as long as this
-        process lags, or, if it was paused meanwhile, since then; but neither from before the connection was
-        made nor from before all input had been read."""
+        process lags, or, if it was paused meanwhile, since then, or since the connection was made, where that
+        was accepted late and not all that lay there has been read since. But neither from before the
+        connection was made nor from before all input had been read."""
         last, paused_since = self.last_byte_at(), self.downstream.gateway.paused_since()
         now = time.monotonic_ns() // NS_PER_TICK
         lag = self.downstream.gateway.lag_margin.current(now)
-        if paused_since is None and not lag:
+        if paused_since is None and not lag and not self.accepted_late:
             return last
         if not (self.buffer.has_partial() or poll_events(self.sock, select.POLLIN)):
-            self.emptied_at = now
+            self.emptied_at, self.accepted_late = now, False
             return last
         since = last - lag if paused_since is None else self._unread_since(paused_since)
+        if self.accepted_late:
+            since = min(since, self.connected_at)
         return min(last, max(since, self.connected_at, self.emptied_at))
 
     def _unread_since(self, paused_since: Ticks) -> Ticks:
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -171,6 +171,30 @@
     world.rests()
 
 
+def test_of_requests_at_a_door_that_opens_late_though_no_pause_is_known(in_process, monkeypatch):
+    """A worker that came up beside load took clients in seconds after the pause before it was forgotten."""
+    served, take = threading.Event(), Downstream._accept_client
+    monkeypatch.setattr(Downstream, "_accept_client", lambda self, sock: (served.wait(5), take(self, sock)))
+    world = in_process(serves())
+    asker = world.asker()
+    asked = time.monotonic()
+    first = asker.ask(key=1, allow=ALLOW)
+    time.sleep(0.6)
+    asker.ask(key=2, allow=ALLOW)
+    monkeypatch.setattr(world.owner, "paused_since", lambda: None)
+    monkeypatch.setattr(world.owner.lag_margin, "current", lambda now: 0)
+    served.set()
+    answers = dict(asker.answer()[:2] for _ in range(2))
+    assert answers[first] == b"200"
+    dispatches = [world.caches[0].next()[2] for _ in answers]
+    assert_in_time(next(items for items in dispatches if b"thing=%016x" % 1 in items[2]), asked)
+    again = asker.ask(key=3, allow=ALLOW)
+    assert asker.answer()[:2] == [again, b"200"]
+    (client,) = world.owner.front.clients
+    assert not client.accepted_late, "once all that lay there was read, the last byte's time holds"
+    world.rests()
+
+
 def test_a_span_without_a_turn_that_goes_on_hides_none_before_it(in_process):
     """As where a worker is slow from its very start: a reader asks before the owner's first turn."""
     world = in_process(serves())
