The limit of ages at a start ends 0.1 s after the change log was connected to

A healthy log tells at once what has waited; so the limit lasts from the start until 0.1 s after the connection (MAX_UNTOLD_TIME), which covers the fault seen (a start of 1.3 s that served before it had read).

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -72,6 +72,9 @@
         gateway = self.gateway
         if target != gateway.feed.target:
             return
+        if change is WatchChange.CONNECTED:
+            gateway.router.discovery_connected()
+            return
         if change is WatchChange.CAUGHT_UP:
             logger.info("change log: read to its end, event {}", gateway.feed.last)
         gateway.router.discovery_caught_up()
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -42,6 +42,7 @@
 class WatchChange(Enum):
     """How the watch's hold on the change log has changed."""
 
+    CONNECTED = auto()  # the log has accepted a connection, and has told nothing on it yet
     CAUGHT_UP = auto()  # all events that had waited were handed on
     UNREACHABLE = auto()  # a connection was refused, or not made in time
 
@@ -140,6 +141,7 @@
             sock.sendall(RESUME.pack(self.last))
             self.connects += 1
             self.status = self.status._replace(current=False)
+            self._report(WatchChange.CONNECTED, target)
             while True:
                 self._receive(sock, target)
 
--- a/lilacloft/routing/catch_up.py
+++ b/lilacloft/routing/catch_up.py
@@ -6,17 +6,17 @@
 counts against those yet.
 
 That costs fills, so it has an end: at once where a connection to the log is refused or not made in time, as
-it cannot be read then; otherwise after `MAX_LIMITED_TIME`. A log that neither refuses nor tells anything
-would else have every cache filled anew for as long. A connection that is made anew limits nothing: for as
-long as there was none nothing could be known, and discovery tells at once what has waited.
+it cannot be read then; `MAX_UNTOLD_TIME` after a connection was made, as a healthy log tells at once what has
+waited, though it shows its end only with its first heartbeat; otherwise after `MAX_LIMITED_TIME`. A
+connection that is made anew limits nothing: while there was none nothing could be known.
 """
 
 from __future__ import annotations
 
 from lilacloft.routing.units import Ticks
 
-# a silent connection is given up after two seconds, and the next one has its first heartbeat within one
 MAX_LIMITED_TIME: Ticks = 30_000
+MAX_UNTOLD_TIME: Ticks = 1_000  # from a connection until what had waited in the log has come
 GRACE_SHARE = 0.5  # of the grace; the rest is for the way to the cache, and for clocks that differ
 MIN_AGE: Ticks = 1  # 0 would mean any age
 
@@ -33,6 +33,10 @@
         """The log is read from now on: the gateway starts, or follows the log at another address."""
         self.limited_until = now + MAX_LIMITED_TIME
 
+    def connected(self, now: Ticks) -> None:
+        """A connection to the log was made: what has waited there comes now."""
+        self.limited_until = min(self.limited_until, now + MAX_UNTOLD_TIME)
+
     def end(self) -> None:
         """The log was read to its end, or cannot be read now."""
         self.limited_until = 0
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -194,6 +194,10 @@
         """The change log is read from now on: at a start, or at another address."""
         self.freshness.catch_up.begin(self.host.now())
 
+    def discovery_connected(self) -> None:
+        """A connection to the change log was made."""
+        self.freshness.catch_up.connected(self.host.now())
+
     def discovery_caught_up(self) -> None:
         """All that the change log had held was read and reported here, or it cannot be read now."""
         self.freshness.catch_up.end()
