--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -172,17 +172,17 @@
     """The change log. Who connects gets all later frames at once, and an empty one behind them."""
 
     beats_at_once = True  # else the first empty frame comes when the subclass sends it
+    released = threading.Event()  # while it is not set, who connects is told nothing
+    released.set()
 
     def __init__(self, frames=(), port=0):
         self.frames, self.since = list(frames), queue.SimpleQueue()
         self.order, self.follow = threading.Lock(), []  # who has had all frames so far
-        self.released = threading.Event()  # while it is not set, who connects is told nothing
-        self.released.set()
         super().__init__(port=port)
 
     def hold(self):
-        """Accept connections from now on, and tell nothing on them."""
-        self.released.clear()
+        """Accept connections from now on, and tell nothing on them before `released` is set."""
+        self.released = threading.Event()
 
     def _serve(self, sock):
         with contextlib.suppress(OSError, struct.error):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -1,6 +1,7 @@
 """Descriptors that run short: idle clients take what they get; discovery, caches and files get theirs."""
 
 import os
+import queue
 import re
 import signal
 import socket
@@ -19,7 +20,7 @@
 from lilacloft.protocol_settings import from_protocol
 from lilacloft.routing.model import Backend
 from rigs.inprocess import waits_for
-from rigs.stands import ENV, Asker, Log, record, serves
+from rigs.stands import ENV, Asker, Log, Stand, record, serves
 
 
 @pytest.mark.parametrize("sockets", [1, 8, 11, 32, 64, 512, 4096])
@@ -60,6 +61,15 @@
     assert [line.close_reason for line in (lines[1], lines[3])] == [None, None]
 
 
+class Again(Log):
+    """A change log that is back at the port of one that was down."""
+
+    def __init__(self, port, frames):
+        self.frames, self.since = frames, queue.SimpleQueue()
+        self.order, self.follow = threading.Lock(), []
+        Stand.__init__(self, port=port)
+
+
 def served(port, key):
     """The answer to a client that asks again on a new connection where one ended unread."""
     for _ in range(100):
@@ -95,7 +105,7 @@
         words = list(pool.map(lambda key: served(world.port, key), range(4 * caches)))
     assert words.count(b"200") > 0.9 * len(words) and set(words) <= {b"200", b"503"}
     drained = world.caches[0]
-    world.log = Log([(2, 2, record(1, drained.port, state=1))], world.log.port)  # it is back
+    world.log = Again(world.log.port, [(2, 2, record(1, drained.port, state=1))])
     assert world.log.since.get(timeout=2) == 1
     os.kill(pid, signal.SIGHUP)
     for line in world.process.stderr:
