--- a/rigs/inprocess.py
+++ b/rigs/inprocess.py
@@ -73,7 +73,7 @@
         self.log.since.get(timeout=5)
         if self.log.released.is_set():
             until(lambda: self.owner.feed.status.current)
-        self.does(lambda: None)  # clients can connect, and what the change log's thread has posted is taken in
+        self.does(lambda: None)  # clients can connect, and what the change log told is taken in
 
     def does(self, what):
         """The result of something done in the owner's thread, after all internal events before."""
