--- a/tests/test_work_order.py
+++ b/tests/test_work_order.py
@@ -139,30 +139,32 @@
     assert max(between.values()) <= MAX_ARRIVALS_BETWEEN, f"arrivals taken before: {between}"
 
 
-# --- replies and deadlines before arrivals ---
-
-
-def test_a_reply_and_a_deadline_behind_one_clients_batch_wait_for_one_arrival_at_most(busy):
-    # guards rule 1: one client's pipelined requests must not make another's answer late
-    flood = busy.clients[0]
+def assert_both_are_kept_behind(busy, send):
+    """The same, where clients send while the loop is held; a reply and a due deadline follow."""
     since, go = len(busy.order.steps), busy.world.stall()
-    batch(flood)
+    send()
     replies(busy.world, *busy.reply[2:])
     until(lambda: time.monotonic() > busy.over)
     go.set()
     assert_both_are_kept(busy, since)
 
 
+# --- replies and deadlines before arrivals ---
+
+
+def test_a_reply_and_a_deadline_behind_one_clients_batch_wait_for_one_arrival_at_most(busy):
+    # guards rule 1: one client's pipelined requests must not make another's answer late
+    assert_both_are_kept_behind(busy, lambda: batch(busy.clients[0]))
+
+
 def test_a_reply_and_a_deadline_behind_many_clients_with_one_request_each_wait_for_one_arrival_at_most(busy):
     # guards rule 1: fairness among clients alone does not help where each has one request
-    since, go = len(busy.order.steps), busy.world.stall()
-    for number, client in enumerate(busy.clients):
-        client.ask(key=number, allow=3000)
-        posted(client)
-    replies(busy.world, *busy.reply[2:])
-    until(lambda: time.monotonic() > busy.over)
-    go.set()
-    assert_both_are_kept(busy, since)
+    def send():
+        for number, client in enumerate(busy.clients):
+            client.ask(key=number, allow=3000)
+            posted(client)
+
+    assert_both_are_kept_behind(busy, send)
 
 
 def test_a_reply_and_a_deadline_that_come_while_a_batch_is_under_way_wait_for_one_arrival_at_most(busy):
@@ -185,14 +187,11 @@
 
 def test_a_reply_and_a_deadline_behind_a_client_that_floods_and_ends_wait_for_one_arrival_at_most(busy):
     # guards rule 1: the requests of who may have left are no reason to be late for who waits
-    flood = busy.clients[0]
-    since, go = len(busy.order.steps), busy.world.stall()
-    batch(flood)
-    halves(flood)
-    replies(busy.world, *busy.reply[2:])
-    until(lambda: time.monotonic() > busy.over)
-    go.set()
-    assert_both_are_kept(busy, since)
+    def send():
+        batch(busy.clients[0])
+        halves(busy.clients[0])
+
+    assert_both_are_kept_behind(busy, send)
 
 
 # --- one client's requests and another's ---
