--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -239,10 +239,12 @@
 
     def note_connect_time(self) -> None:
         """Note when it was connected, and whether it waited so long to be accepted that input lies there."""
-        now, span = time.monotonic_ns() // NS_PER_TICK, int(since_opened(self.sock) * TICKS_PER_SECOND)
-        if span:
+        gateway, now = self.downstream.gateway, time.monotonic_ns() // NS_PER_TICK
+        span = int(since_opened(self.sock) * TICKS_PER_SECOND)
+        is_late = span > MAX_ACCEPT_DELAY
+        if span and (is_late or gateway.paused_since() is not None or gateway.lag_margin.current(now)):
             self.connected_at = now - span
-        self.accepted_late = span > MAX_ACCEPT_DELAY and bool(poll_events(self.sock, select.POLLIN))
+        self.accepted_late = is_late and bool(poll_events(self.sock, select.POLLIN))
 
     def arrived_at(self) -> Ticks:
         """The earliest time at which the message just read may have arrived: with the last byte that the
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from lilacloft.net import client_connection
 from lilacloft.net.downstream import Downstream
 from lilacloft.net.resp import parse_fields
 from lilacloft.protocol_settings import NS_PER_TICK
@@ -195,6 +196,19 @@
     world.rests()
 
 
+def test_a_connection_that_was_accepted_at_once_is_not_dated(in_process, monkeypatch):
+    """What came on it in a later pause was taken to be as old as the connection."""
+    monkeypatch.setattr(client_connection, "since_opened", lambda sock: 0.01)
+    world = in_process(serves())
+    monkeypatch.setattr(world.owner, "paused_since", lambda: None)
+    monkeypatch.setattr(world.owner.lag_margin, "current", lambda now: 0)
+    asker = world.asker()
+    until(lambda: world.owner.front.clients)
+    (client,) = world.owner.front.clients
+    assert client.connected_at == 0 and not client.accepted_late
+    asker.sock.close()
+
+
 def test_a_span_without_a_turn_that_goes_on_hides_none_before_it(in_process):
     """As where a worker is slow from its very start: a reader asks before the owner's first turn."""
     world = in_process(serves())
