--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -130,7 +130,7 @@
             event = self.work.next_of_clients(self.clock.monotonic_time)
             if event is None:
                 return
-            self._run_event(event)
+            self.run_event(event)
 
     def _wait_for_work(self) -> None:
         while self.is_obsolete(self.timers[0]):
@@ -161,12 +161,12 @@
             count = len(self.work.internal)
             while count and self.work.internal:
                 count -= 1
-                self._run_event(self.work.internal.popleft())
+                self.run_event(self.work.internal.popleft())
             if self.queue.empty():
                 return
 
-    def _run_event(self, event: Event) -> None:
-        """Make the call of an event."""
+    def run_event(self, event: Event) -> None:
+        """Make the call of an event; the clock was updated since the one before."""
         began = self.clock.monotonic_time
         waited = began - event.posted_at
         self.lags.events.record(waited)
--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -128,9 +128,7 @@
         gateway = self.gateway
         gateway.update_clock()
         while (event := gateway.next_event()) is not None:
-            gateway.update_clock()
-            gateway.lags.events.record(gateway.monotonic_time - event.posted_at)
-            gateway.run_callback(event.callback, event.arguments)
+            gateway.loop.run_event(event)
 
     def _hold_writing(self) -> bool:
         """Hold the writing of all connections as well; returns whether everything is at rest."""
