The watch's last event counts as had only once it was handed on

Cause: `DiscoveryWatch._receive` set `last` before it handed the event on. Who read `last` in between took an event for posted that was not. Callers were not reached by it: the hand-over reads it under the gate; planners' reports may have named a list that the gateway was about to apply.

Why this works: an event is in the event loop's queue before its number can be seen, and the queue keeps the order.

The new test in tests/test_net.py failed before: (5, 5) where (4, 5) is expected.

--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -166,9 +166,9 @@
         event = decode_event(number, kind, read_before(sock, size, deadline + size / MIN_RATE))
         with self.gate:
             if event is not None and number > self.last:
-                self.last = number
-                self.events += 1
                 self.on_event(event, number)
+                self.events += 1
+                self.last = number  # not before: who reads it takes the event for handed on
             was_current = self.status.current
             self.status = WatchStatus(time.monotonic_ns() // NS_PER_TICK, was_current or event is None)
             if self.status.current and not was_current:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -183,6 +183,16 @@
         assert got.empty()
 
 
+def test_an_event_counts_as_had_only_once_it_was_handed_on():
+    log, had = Log([(5, 4, struct.pack(">HQ", 17, 1))]), queue.SimpleQueue()
+    follows = discovery_watch.DiscoveryWatch(
+        ("127.0.0.1", log.port), 4, lambda event, number: had.put((follows.last, number))
+    )
+    follows.start()
+    assert had.get(timeout=5) == (4, 5)
+    log.close()
+
+
 def test_the_change_log_is_asked_again_when_it_falls_silent_and_where_it_has_moved():
     """An old one stays open and tells nothing more; so may one that hangs."""
     first, second = Log(), Log([(5, 4, struct.pack(">HQ", 17, 1))])
