A lost connection to the change log limits ages until the log has answered on the next one

Cause: `CatchUp` limited ages at starts and moves only. The watch told neither the end of a connection nor whether the log had sent anything on the next.

Change: a read barrier (net/read_barrier.py). Where the log sends nothing within 30 ms on a connection that is made again, a second one asks for the last event once more; whichever is answered first is followed. Ages are limited from `DISCONNECTED` until 0.1 s after the first frame (`ANSWERED`), not while connections are refused, and for 3 s in all where the log tells nothing.

Why this works: by the protocol who names the event before the last one is sent the last one at once, and behind it, in order, on one stream, all that has waited. A log that stands still sends nothing on either connection. The repeated event changes nothing; it does not move `WatchStatus.at` either, by which the starts and purges behind it are dated.

What is left: a log that stands still for over 0.1 s between two events that have waited; starts and hand-overs, which take a connection for an answer as before.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -72,12 +72,19 @@
         gateway = self.gateway
         if target != gateway.feed.target:
             return
-        if change is WatchChange.CONNECTED:
-            gateway.router.discovery_connected()
-            return
-        if change is WatchChange.CAUGHT_UP:
-            logger.info("change log: read to its end, event {}", gateway.feed.last)
-        gateway.router.discovery_caught_up()
+        router = gateway.router
+        match change:
+            case WatchChange.CONNECTED:
+                router.discovery_connected()
+            case WatchChange.DISCONNECTED:
+                router.discovery_disconnected()
+            case WatchChange.ANSWERED:
+                router.discovery_answered()
+            case WatchChange.CAUGHT_UP:
+                logger.info("change log: read to its end, event {}", gateway.feed.last)
+                router.discovery_caught_up()
+            case WatchChange.UNREACHABLE:
+                router.discovery_caught_up()
 
     def apply_event(
         self, event: DiscoveryEvent, mode: str | None = None, feed_state: WatchStatus | None = None
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -20,12 +20,12 @@
 
 from lilacloft.net.discovery_events import MAX_EVENT_SIZE, DiscoveryEvent, decode_event
 from lilacloft.net.exact_reads import read_before
+from lilacloft.net.read_barrier import RESUME, Address, answering_connection
 from lilacloft.net.resp import GarbledError
 from lilacloft.protocol_settings import NS_PER_TICK
 
 HEADER = struct.Struct(">IQB")  # length of what follows it, number, kind
 LENGTH_SIZE = 4  # bytes of the header that its length does not count
-RESUME = struct.Struct(">Q")  # the first message of a connection: the number of the last event
 
 HEARTBEAT_INTERVAL = 1.0  # seconds between two frames of a live log, at most
 MAX_SILENCE = 2 * HEARTBEAT_INTERVAL  # after which the connection is given up
@@ -35,14 +35,15 @@
 MAX_BACKOFF = HEARTBEAT_INTERVAL / 2
 HASH_MULTIPLIER = 0x9E3779B1  # odd, near 2**32 divided by the golden ratio
 
-Address: TypeAlias = tuple[str, int]  # host and port
 EventHandler: TypeAlias = Callable[[DiscoveryEvent, int], None]  # an event and its number
 
 
 class WatchChange(Enum):
     """How the watch's hold on the change log has changed."""
 
-    CONNECTED = auto()  # the log has accepted a connection, and has told nothing on it yet
+    CONNECTED = auto()  # the log has accepted a connection, and was asked for nothing on it yet
+    ANSWERED = auto()  # the log has sent its first frame on the connection
+    DISCONNECTED = auto()  # the connection has ended, or was given up
     CAUGHT_UP = auto()  # all events that had waited were handed on
     UNREACHABLE = auto()  # a connection was refused, or not made in time
 
@@ -57,10 +58,6 @@
 ChangeHandler: TypeAlias = Callable[[WatchChange, WatchTarget], None]  # a change, and of which log
 
 
-def ignore_change(_change: WatchChange, _target: WatchTarget) -> None:
-    """Do nothing: the handler of a watch whose changes do not matter."""
-
-
 class WatchStatus(NamedTuple):
     """How current the watch is."""
 
@@ -77,12 +74,13 @@
         last: int,
         on_event: EventHandler,
         gateway: str = "",
-        on_change: ChangeHandler = ignore_change,
+        on_change: ChangeHandler | None = None,
     ) -> None:
         """`last`: the number of the last event that is there already; `on_event`, `on_change`: called in the
-        watch's thread, in the order in which things happen; `gateway`: the gateway's name, which spreads the
-        reconnections of a fleet over time."""
+        watch's thread, in the order in which things happen; without `on_change` no read barrier is asked for;
+        `gateway`: the gateway's name, which spreads the reconnections of a fleet over time."""
         self.target = WatchTarget(address, 0)
+        self.tried_target: WatchTarget | None = None  # a connection to it was attempted
         self.last, self.on_event, self.gateway, self.on_change = last, on_event, gateway, on_change
         self.connects = self.events = 0  # connections made, events handed on
         self.status = WatchStatus(time.monotonic_ns() // NS_PER_TICK, current=False)
@@ -133,17 +131,36 @@
 
     def _follow(self) -> None:
         """Follow the log on one connection, until it ends with an error."""
-        target = self.target
+        target, is_first_attempt = self.target, self.target != self.tried_target
+        self.tried_target = target
         with self._connect(target) as sock:
             self.sock = sock
             if self.address_changed.is_set():  # since the loop began: this may be the old address
                 return
-            sock.sendall(RESUME.pack(self.last))
-            self.connects += 1
-            self.status = self.status._replace(current=False)
             self._report(WatchChange.CONNECTED, target)
+            try:
+                sock.sendall(RESUME.pack(self.last))
+                self.connects += 1
+                self.status = self.status._replace(current=False)
+                self._receive_all(sock, target, is_first_attempt)
+            finally:
+                self._report(WatchChange.DISCONNECTED, target)
+
+    def _receive_all(self, connected: socket.socket, target: WatchTarget, is_first_attempt: bool) -> None:
+        """Read frames until an error. Where the log was tried before, it is shown at once whether it answers:
+        what has waited in it meanwhile may be a purge."""
+        deadline = self._silence_deadline()
+        sock = connected
+        if self.on_change and not is_first_attempt:
+            sock = answering_connection(connected, target.address, self.last, deadline)
+        with sock:
+            self.sock = sock
+            if self.address_changed.is_set():  # the other connection may have been shut down for it
+                return
+            self._receive(sock, target, deadline)
+            self._report(WatchChange.ANSWERED, target)
             while True:
-                self._receive(sock, target)
+                self._receive(sock, target, self._silence_deadline())
 
     def _connect(self, target: WatchTarget) -> socket.socket:
         try:
@@ -154,25 +171,43 @@
 
     def _report(self, change: WatchChange, target: WatchTarget) -> None:
         with self.gate:
+            self._change(change, target)
+
+    def _change(self, change: WatchChange, target: WatchTarget) -> None:
+        """Hand a change on; under the gate."""
+        if self.on_change:
             self.on_change(change, target)
 
-    def _receive(self, sock: socket.socket, target: WatchTarget) -> None:
-        """Read one frame, and hand its event on if it is new."""
-        deadline = time.monotonic() + MAX_SILENCE * (1 + self._jitter() / 10)
+    def _silence_deadline(self) -> float:
+        """Return when the connection is given up as silent; in monotonic seconds."""
+        return time.monotonic() + MAX_SILENCE * (1 + self._jitter() / 10)
+
+    def _receive(self, sock: socket.socket, target: WatchTarget, deadline: float) -> None:
+        """Read one frame that has to come by a deadline, and hand its event on if it is new."""
         length, number, kind = HEADER.unpack(read_before(sock, HEADER.size, deadline))
         size = length - (HEADER.size - LENGTH_SIZE)
         if not 0 <= size <= MAX_EVENT_SIZE:
             raise GarbledError(f"a frame of {length} bytes")
         event = decode_event(number, kind, read_before(sock, size, deadline + size / MIN_RATE))
         with self.gate:
-            if event is not None and number > self.last:
-                self.on_event(event, number)
-                self.events += 1
-                self.last = number  # not before: who reads it takes the event for handed on
-            was_current = self.status.current
-            self.status = WatchStatus(time.monotonic_ns() // NS_PER_TICK, was_current or event is None)
-            if self.status.current and not was_current:
-                self.on_change(WatchChange.CAUGHT_UP, target)
+            if event is None:
+                self._take_heartbeat(target)
+            elif number > self.last:
+                self._take_event(event, number)
+
+    def _take_event(self, event: DiscoveryEvent, number: int) -> None:
+        """Hand a new event on; under the gate."""
+        self.on_event(event, number)
+        self.events += 1
+        self.last = number  # not before: who reads it takes the event for handed on
+        self.status = self.status._replace(at=time.monotonic_ns() // NS_PER_TICK)
+
+    def _take_heartbeat(self, target: WatchTarget) -> None:
+        """All that had waited was handed on; under the gate."""
+        was_current = self.status.current
+        self.status = WatchStatus(time.monotonic_ns() // NS_PER_TICK, current=True)
+        if not was_current:
+            self._change(WatchChange.CAUGHT_UP, target)
 
     def _jitter(self) -> float:
         """Return a number from 0 to 1 by name and connection, so that gateways that lose the log at once do
--- a/lilacloft/net/resource_limits.py
+++ b/lilacloft/net/resource_limits.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-RESERVED = 10  # descriptors: standard streams, listening socket, change log, a file, one being accepted
+RESERVED = 10  # descriptors: standard streams, listening socket, change log twice, a file, one being accepted
 
 
 class Budgets(NamedTuple):
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -198,6 +198,14 @@
         """A connection to the change log was made."""
         self.freshness.catch_up.connected(self.host.now())
 
+    def discovery_disconnected(self) -> None:
+        """The connection to the change log has ended."""
+        self.freshness.catch_up.disconnected(self.host.now())
+
+    def discovery_answered(self) -> None:
+        """The change log has sent something on its connection, and all that came before was reported here."""
+        self.freshness.catch_up.answered(self.host.now())
+
     def discovery_caught_up(self) -> None:
         """All that the change log had held was read and reported here, or it cannot be read now."""
         self.freshness.catch_up.end()
--- /dev/null
+++ b/tests/test_read_barrier.py
@@ -0,0 +1,161 @@
+"""A change log that is connected to again is asked for its last event again, which shows whether it answers.
+
+The log of these worlds sends no heartbeat once it runs, so that nothing else shows its end, and asks on a
+second connection show as a second number in `since`.
+"""
+
+import random
+import socket
+import threading
+import time
+
+import pytest
+
+from lilacloft.net.read_barrier import answering_connection
+from lilacloft.routing.catch_up import MAX_LIMITED_TIME, MAX_UNTOLD_TIME, CatchUp
+from rigs.inprocess import until
+from rigs.model import SEC
+from rigs.stands import Log, framed, record
+from tests.test_catch_up import FULL_AGE, GRACE, NEW, OLD, AgedCopies, asked, purge
+
+REPEATED = framed(7, 1)
+
+
+def reconnects(world, *frames):
+    """The change log ends the connection, and holds a last event with another list, and more frames."""
+    log = world.log
+    log.frames += [(1, 1, record(9, 1)), *frames]
+    log.beats_at_once = False
+    log.break_off()
+    assert log.since.get(timeout=5) == 1
+
+
+def test_a_log_that_is_well_limits_ages_for_a_moment_and_its_old_list_changes_nothing(in_process):
+    copies = AgedCopies()
+    world = in_process(copies)
+    feed, asker = world.owner.feed, world.asker()
+    at, listed = feed.status.at, set(world.owner.backends)
+    reconnects(world)
+    assert world.log.since.get(timeout=5) == 0, "the last event is asked for again"
+    until(lambda: asked(asker) == OLD, wait=MAX_LIMITED_TIME / SEC - 0.5)
+    assert copies.asked_ages[-1] == FULL_AGE
+    assert (feed.last, feed.events, feed.status.at) == (1, 0, at) and set(world.owner.backends) == listed
+
+
+class HoldsNew(Log):
+    """A log that tells nothing to who asks for what is new, and all to who asks for its last event again."""
+
+    def _serve(self, sock):
+        last = int.from_bytes(sock.recv(8, socket.MSG_PEEK | socket.MSG_WAITALL), "big")
+        if last == 0:
+            super()._serve(sock)
+        self.since.put(last)
+
+
+def test_a_purge_that_waits_is_read_behind_the_repeated_event(in_process):
+    world = in_process(AgedCopies())
+    feed, asker = world.owner.feed, world.asker()
+    world.log.__class__ = HoldsNew
+    reconnects(world, purge())
+    until(lambda: feed.last == 2)
+    world.does(lambda: None)
+    assert asked(asker) == NEW and feed.events == 1
+    world.log.add(3, 3, purge()[2])
+    until(lambda: feed.last == 3, what=lambda: "the connection that answered is followed")
+
+
+def test_discovery_moves_while_neither_connection_is_answered(in_process):
+    world, other = in_process(), Log()
+    world.log.hold()
+    world.log.break_off()
+    assert [world.log.since.get(timeout=5) for _ in range(2)] == [1, 0]
+    moved = {**world.config, "listen": "127.0.0.1:0", "changelog": f"127.0.0.1:{other.port}"}
+    world.does(lambda: world.owner.reload(moved))
+    assert other.since.get(timeout=1) == 1
+    other.close()
+
+
+# --- the connection to follow ---
+
+
+def stays_silent(server, log):
+    log.sendall(REPEATED)
+
+
+def ends(server, log):
+    server.accept()[0].close()
+    log.sendall(REPEATED)
+
+
+def refuses(server, log):
+    log.sendall(REPEATED)
+
+
+@pytest.mark.parametrize("does", [stays_silent, ends, refuses])
+def test_where_the_barrier_fails_the_first_connection_is_followed(does):
+    first, log = socket.socketpair()
+    server = socket.create_server(("127.0.0.1", 0))
+    first.settimeout(5)
+    server.settimeout(5)
+    address = server.getsockname()
+    if does is refuses:
+        server.close()
+    threading.Timer(0.1, does, (server, log)).start()
+    assert answering_connection(first, address, 7, time.monotonic() + 5) is first
+    assert first.recv(99) == REPEATED
+
+
+def test_the_barrier_is_followed_where_it_is_answered_first():
+    first, log = socket.socketpair()
+    with log, socket.create_server(("127.0.0.1", 0)) as server:
+
+        def repeats():
+            sock, _ = server.accept()
+            assert sock.recv(8, socket.MSG_WAITALL) == (6).to_bytes(8, "big")
+            sock.sendall(REPEATED)
+
+        threading.Thread(target=repeats, daemon=True).start()
+        sock = answering_connection(first, server.getsockname(), 7, time.monotonic() + 5)
+        assert sock is not first and sock.recv(99) == REPEATED and first.fileno() < 0
+        sock.close()
+
+
+def test_where_neither_is_answered_both_are_given_up_at_the_deadline():
+    first, log = socket.socketpair()
+    with log, socket.create_server(("127.0.0.1", 0)) as server, pytest.raises(TimeoutError):
+        answering_connection(first, server.getsockname(), 7, time.monotonic() + 0.3)
+
+
+# --- the decisions ---
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_until_the_log_answers_no_copy_is_accepted_that_may_be_older_than_an_unread_purge(seed):
+    """From an interruption, for the bound at most; once it has answered, ages are limited for a moment."""
+    chance, catching_up, now = random.Random(seed), CatchUp(GRACE), 0
+    interrupted_at, answered_at, unread, checked = None, -MAX_UNTOLD_TIME, [], 0
+    for _ in range(2_000):
+        now += chance.randrange(1, 1_000)
+        event = chance.choice(("disconnected", "answered", "end", *["purge", "pass"] * 4))
+        if event == "disconnected":
+            catching_up.disconnected(now)
+            if interrupted_at is None:
+                interrupted_at, unread = now, []
+        elif event == "answered":
+            catching_up.answered(now)
+            interrupted_at, answered_at = None, now
+        elif event == "end":
+            catching_up.end()
+            interrupted_at, answered_at = None, -MAX_UNTOLD_TIME
+        elif event == "purge":
+            unread.append(now)
+        age = catching_up.max_age(now)
+        if interrupted_at is None:
+            assert age == 0 or now - answered_at < MAX_UNTOLD_TIME
+        elif now - interrupted_at >= MAX_LIMITED_TIME:
+            assert age == 0
+        else:
+            due = [told for told in unread if now - told > GRACE]
+            assert age > 0 and all(now - age > told for told in due)
+            checked += bool(due)
+    assert checked > 20
