A change log that is back after it had refused connections limits ages until it has answered

Forced on stand-ins; no caller has reported it.

Cause: a refusal ends the limit of ages, as what cannot be read is not worth filling every copy anew. Nothing began it again: `CatchUp.connected` only shortened a limit that was in force, and none was.

Change: `CatchUp.connected` limits ages, unless a limit was begun since the log last told anything; so a log that accepts, tells nothing and is given up wins no new time. The watch reports the connection before it asks for anything on it.

Also after a start at which the log refused.

--- a/lilacloft/routing/catch_up.py
+++ b/lilacloft/routing/catch_up.py
@@ -1,9 +1,9 @@
 """Catch-up: how old a copy may be while the change log may hold purges that were not read yet.
 
 A purge counts as told once it is in the change log. A gateway that starts, follows the log at another
-address or has lost its connection cannot know of the purges told since, before it has read the log to its
-end. Until then it accepts only copies that are younger than the grace within which a purge must be heeded:
-no purge counts against those yet.
+address, has lost its connection, or finds the log back after it had refused one, cannot know of the purges
+told since, before it has read the log to its end. Until then it accepts only copies that are younger than
+the grace within which a purge must be heeded: no purge counts against those yet.
 
 That costs fills, so it has an end: at once where a connection to the log is refused or not made in time, as
 it cannot be read then; `MAX_UNTOLD_TIME` after the log has answered, as a healthy one sends at once what has
@@ -28,7 +28,7 @@
     """What is known of the change log."""
 
     BEGUN = auto()  # nothing was read since the start, or at this address
-    INTERRUPTED = auto()  # nothing was read since its connection ended
+    INTERRUPTED = auto()  # nothing was read since its connection ended, or since it is back
     SETTLED = auto()  # it has answered since then, or cannot be read now
 
 
@@ -50,6 +50,8 @@
         """A connection to the log was made: what has waited there comes once the log answers."""
         if self.progress is LogProgress.BEGUN:
             self._shorten(now)
+        else:
+            self._interrupt(now)
 
     def disconnected(self, now: Ticks) -> None:
         """The connection to the log has ended: what it tells from now on is not read."""
--- a/tests/test_read_barrier.py
+++ b/tests/test_read_barrier.py
@@ -16,7 +16,7 @@
 from rigs.inprocess import until
 from rigs.model import SEC
 from rigs.stands import Log, framed, record
-from tests.test_catch_up import FULL_AGE, GRACE, NEW, OLD, AgedCopies, asked, purge
+from tests.test_catch_up import FULL_AGE, GRACE, LIMIT, NEW, OLD, AgedCopies, asked, purge
 
 REPEATED = framed(7, 1)
 
@@ -136,9 +136,9 @@
     interrupted_at, answered_at, unread, checked = None, -MAX_UNTOLD_TIME, [], 0
     for _ in range(2_000):
         now += chance.randrange(1, 1_000)
-        event = chance.choice(("disconnected", "answered", "end", *["purge", "pass"] * 4))
-        if event == "disconnected":
-            catching_up.disconnected(now)
+        event = chance.choice(("disconnected", "connected", "answered", "end", *["purge", "pass"] * 4))
+        if event in ("disconnected", "connected"):
+            getattr(catching_up, event)(now)
             if interrupted_at is None:
                 interrupted_at, unread = now, []
         elif event == "answered":
@@ -159,3 +159,14 @@
             assert age > 0 and all(now - age > told for told in due)
             checked += bool(due)
     assert checked > 20
+
+
+def test_a_start_at_which_the_log_refused_connections_limits_ages_once_it_is_back():
+    catching_up = CatchUp(GRACE)
+    catching_up.begin(0)
+    catching_up.end()
+    assert catching_up.max_age(SEC) == 0
+    catching_up.connected(SEC)
+    assert catching_up.max_age(SEC + MAX_UNTOLD_TIME) == LIMIT
+    catching_up.answered(2 * SEC)
+    assert catching_up.max_age(2 * SEC) == LIMIT and catching_up.max_age(2 * SEC + MAX_UNTOLD_TIME) == 0
