A failing test: a log that answers the read barrier and stops before the purge behind it

Forced: the change log repeats the last event on the second connection and stands still for 2 s before the purge that has waited behind it.

No further asking shows it, as a log of this kind answers each time; only the first heartbeat says that all was sent.

And a test that a process without a descriptor for the second connection follows the first one.

--- a/tests/test_read_barrier.py
+++ b/tests/test_read_barrier.py
@@ -4,6 +4,7 @@
 second connection show as a second number in `since`.
 """
 
+import errno
 import random
 import socket
 import threading
@@ -16,7 +17,7 @@
 from rigs.inprocess import until
 from rigs.model import SEC
 from rigs.stands import Log, framed, record
-from tests.test_catch_up import FULL_AGE, GRACE, LIMIT, NEW, OLD, AgedCopies, asked, purge
+from tests.test_catch_up import FULL_AGE, GRACE, LIMIT, NEW, OLD, AgedCopies, asked, asked_while_held, purge
 
 REPEATED = framed(7, 1)
 
@@ -64,6 +65,23 @@
     until(lambda: feed.last == 3, what=lambda: "the connection that answered is followed")
 
 
+class StopsBehindRepeated(HoldsNew):
+    """And stands still behind that event until it is released."""
+
+    def _serve(self, sock):
+        if int.from_bytes(sock.recv(8, socket.MSG_PEEK | socket.MSG_WAITALL), "big") == 0:
+            sock.sendall(framed(*self.frames[0]))
+        super()._serve(sock)
+
+
+def test_a_log_that_stands_still_between_the_repeated_event_and_a_purge_has_no_old_copy_served(in_process):
+    world = in_process(AgedCopies())
+    world.log.hold()
+    world.log.__class__ = StopsBehindRepeated
+    reconnects(world, purge())
+    assert asked_while_held(world, world.log) == {NEW}
+
+
 def test_discovery_moves_while_neither_connection_is_answered(in_process):
     world, other = in_process(), Log()
     world.log.hold()
@@ -105,6 +123,17 @@
     assert first.recv(99) == REPEATED
 
 
+def test_where_there_is_no_descriptor_for_the_barrier_the_first_connection_is_followed(monkeypatch):
+    first, log = socket.socketpair()
+
+    def fails():
+        raise OSError(errno.EMFILE, "too many open files")
+
+    with first, log:
+        monkeypatch.setattr(socket, "socket", fails)
+        assert answering_connection(first, ("127.0.0.1", 1), 7, time.monotonic() + 5) is first
+
+
 def test_the_barrier_is_followed_where_it_is_answered_first():
     first, log = socket.socketpair()
     with log, socket.create_server(("127.0.0.1", 0)) as server:
