--- a/lilacloft/net/read_barrier.py
+++ b/lilacloft/net/read_barrier.py
@@ -19,7 +19,7 @@
 from lilacloft.net.polling import poll_events
 
 RESUME = struct.Struct(">Q")  # the first message of a connection: the number of the last event
-MILLISECONDS = 1000  # of a second
+MILLISECONDS_PER_SECOND = 1000
 HEAD_START_MS = 30  # a log that has something new sends it within that: no barrier is needed then
 
 Address: TypeAlias = tuple[str, int]  # host and port
@@ -73,7 +73,7 @@
     poller.register(barrier, select.POLLOUT)
     is_asked = False
     while (remaining := deadline - time.monotonic()) > 0:
-        ready = [descriptor for descriptor, _ in poller.poll(remaining * MILLISECONDS)]
+        ready = [descriptor for descriptor, _ in poller.poll(remaining * MILLISECONDS_PER_SECOND)]
         if first.fileno() in ready:
             return first
         if not ready:
--- a/tests/test_read_barrier.py
+++ b/tests/test_read_barrier.py
@@ -96,31 +96,24 @@
 # --- the connection to follow ---
 
 
-def stays_silent(server, log):
-    log.sendall(REPEATED)
-
-
-def ends(server, log):
-    server.accept()[0].close()
-    log.sendall(REPEATED)
-
-
-def refuses(server, log):
-    log.sendall(REPEATED)
-
-
-@pytest.mark.parametrize("does", [stays_silent, ends, refuses])
-def test_where_the_barrier_fails_the_first_connection_is_followed(does):
+@pytest.mark.parametrize("barrier", ["silent", "ended", "refused"])
+def test_where_the_barrier_fails_the_first_connection_is_followed(barrier):
     first, log = socket.socketpair()
-    server = socket.create_server(("127.0.0.1", 0))
-    first.settimeout(5)
-    server.settimeout(5)
-    address = server.getsockname()
-    if does is refuses:
-        server.close()
-    threading.Timer(0.1, does, (server, log)).start()
-    assert answering_connection(first, address, 7, time.monotonic() + 5) is first
-    assert first.recv(99) == REPEATED
+    with first, log, socket.create_server(("127.0.0.1", 0)) as server:
+        address = server.getsockname()
+        first.settimeout(5)
+        server.settimeout(5)
+
+        def answers():
+            if barrier == "ended":
+                server.accept()[0].close()
+            log.sendall(REPEATED)
+
+        if barrier == "refused":
+            server.close()
+        threading.Timer(0.1, answers).start()
+        assert answering_connection(first, address, 7, time.monotonic() + 5) is first
+        assert first.recv(99) == REPEATED
 
 
 def test_where_there_is_no_descriptor_for_the_barrier_the_first_connection_is_followed(monkeypatch):
