--- a/rigs/inprocess.py
+++ b/rigs/inprocess.py
@@ -102,8 +102,7 @@
     def close(self):
         self.owner.post(self.owner.end)
         self.thread.join(5)
-        self.owner.feed._follow = threading.Event().wait  # its thread lives on, and connects no more
-        self.owner.feed.move(("127.0.0.1", 1))  # its port is another test's soon
+        self.owner.feed.move(("127.0.0.1", 1))  # its thread lives on, and its port is another test's soon
         for client in [*self.owner.front.clients, *self.owner.front.draining]:
             client.close(CloseReason.RETIRED)
         self.owner.front.stop_accepting()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,12 +5,28 @@
 import pytest
 
 from lilacloft.net.connection import Connection
+from lilacloft.net.discovery_watch import DiscoveryWatch
 from rigs.inprocess import InProcessWorld
 from rigs.stands import World, made
 
 pytest_plugins = ["rigs.red"]
 
 
+@pytest.fixture(autouse=True)
+def no_watch_connects_after_its_test(monkeypatch):
+    """The thread of a watch lives on; a later test that counts refused connections would count its own."""
+    watches, start = [], DiscoveryWatch.start
+
+    def recorded(watch):
+        watches.append(watch)
+        start(watch)
+
+    monkeypatch.setattr(DiscoveryWatch, "start", recorded)
+    yield
+    for watch in watches:
+        watch._follow = threading.Event().wait
+
+
 @pytest.fixture
 def in_process(tmp_path):
     """Makes worlds whose gateway is in this process."""
