Ages stay limited until the change log has shown its end, for which it is now asked

Cause: CatchUp limited ages until 0.1 s after the log's first frame (MAX_UNTOLD_TIME). A frame shows that the log answers, not that nothing waits behind it; only a heartbeat shows that, and by the protocol it comes up to 1 s later.

Change: behind new events the watch asks for the end (connection_to_end), four times at most on a connection, 30 ms each, and follows the connection that answers. Ages are limited until a heartbeat came, or for 2.2 s behind the answer: as long as a silent connection is followed. A log that repeats its last event and tells nothing else wins no new time (WatchChange.REPEATED). The bound at a start, 0.1 s behind a connection, keeps its value and has a name of its own, which two places of tests/test_catch_up.py now use; no check has changed.

It costs nothing where the log shows its end when asked.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -78,6 +78,8 @@
                 router.discovery_connected()
             case WatchChange.DISCONNECTED:
                 router.discovery_disconnected()
+            case WatchChange.REPEATED:
+                router.discovery_repeated()
             case WatchChange.ANSWERED:
                 router.discovery_answered()
             case WatchChange.CAUGHT_UP:
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 import threading
@@ -20,7 +21,8 @@
 
 from lilacloft.net.discovery_events import MAX_EVENT_SIZE, DiscoveryEvent, decode_event
 from lilacloft.net.exact_reads import read_before
-from lilacloft.net.read_barrier import RESUME, Address, answering_connection
+from lilacloft.net.polling import poll_events
+from lilacloft.net.read_barrier import RESUME, Address, answering_connection, connection_to_end
 from lilacloft.net.resp import GarbledError
 from lilacloft.protocol_settings import NS_PER_TICK
 
@@ -33,6 +35,8 @@
 CONNECT_TIMEOUT = HEARTBEAT_INTERVAL / 2  # seconds
 MIN_BACKOFF = HEARTBEAT_INTERVAL / 32
 MAX_BACKOFF = HEARTBEAT_INTERVAL / 2
+MORE_FRAMES_MS = 1  # what a log sends at once comes on a connection without longer pauses
+MAX_END_QUESTIONS = 4  # on one connection, to a log that has another event each time
 HASH_MULTIPLIER = 0x9E3779B1  # odd, near 2**32 divided by the golden ratio
 
 EventHandler: TypeAlias = Callable[[DiscoveryEvent, int], None]  # an event and its number
@@ -42,7 +46,8 @@
     """How the watch's hold on the change log has changed."""
 
     CONNECTED = auto()  # the log has accepted a connection, and was asked for nothing on it yet
-    ANSWERED = auto()  # the log has sent its first frame on the connection
+    REPEATED = auto()  # the log has sent an event again on the connection, and nothing new yet
+    ANSWERED = auto()  # the log has sent its first new event or heartbeat on the connection
     DISCONNECTED = auto()  # the connection has ended, or was given up
     CAUGHT_UP = auto()  # all events that had waited were handed on
     UNREACHABLE = auto()  # a connection was refused, or not made in time
@@ -148,19 +153,32 @@
 
     def _receive_all(self, connected: socket.socket, target: WatchTarget, is_first_attempt: bool) -> None:
         """Read frames until an error. Where the log was tried before, it is shown at once whether it answers:
-        what has waited in it meanwhile may be a purge."""
-        deadline = self._silence_deadline()
-        sock = connected
+        what has waited in it meanwhile may be a purge. Where it has told something new, it is asked for its
+        end: there may be more behind that."""
+        sock, deadline, last_named = connected, self._silence_deadline(), self.last
+        questions = MAX_END_QUESTIONS if self.on_change else 0
         if self.on_change and not is_first_attempt:
             sock = answering_connection(connected, target.address, self.last, deadline)
-        with sock:
-            self.sock = sock
-            if self.address_changed.is_set():  # the other connection may have been shut down for it
-                return
-            self._receive(sock, target, deadline)
-            self._report(WatchChange.ANSWERED, target)
+        try:
+            has_answered = False
             while True:
-                self._receive(sock, target, self._silence_deadline())
+                self.sock = sock
+                if self.address_changed.is_set():  # another connection may have been shut down for it
+                    return
+                change = self._receive(sock, target, deadline)
+                if not has_answered:
+                    self._report(change, target)
+                    has_answered = change is WatchChange.ANSWERED
+                if questions and self.last > last_named and self._may_hold_more(sock):
+                    questions, last_named = questions - 1, self.last
+                    sock = connection_to_end(sock, target.address, last_named)
+                deadline = self._silence_deadline()
+        finally:
+            sock.close()
+
+    def _may_hold_more(self, sock: socket.socket) -> bool:
+        """Has the log sent all that it sends at once, and not shown that this was all?"""
+        return not self.status.current and not poll_events(sock, select.POLLIN, MORE_FRAMES_MS)
 
     def _connect(self, target: WatchTarget) -> socket.socket:
         try:
@@ -182,8 +200,9 @@
         """Return when the connection is given up as silent; in monotonic seconds."""
         return time.monotonic() + MAX_SILENCE * (1 + self._jitter() / 10)
 
-    def _receive(self, sock: socket.socket, target: WatchTarget, deadline: float) -> None:
-        """Read one frame that has to come by a deadline, and hand its event on if it is new."""
+    def _receive(self, sock: socket.socket, target: WatchTarget, deadline: float) -> WatchChange:
+        """Read one frame that has to come by a deadline, and hand its event on if it is new. Returns ANSWERED
+        for a new event or a heartbeat, REPEATED for an event that was handed on before."""
         length, number, kind = HEADER.unpack(read_before(sock, HEADER.size, deadline))
         size = length - (HEADER.size - LENGTH_SIZE)
         if not 0 <= size <= MAX_EVENT_SIZE:
@@ -194,6 +213,9 @@
                 self._take_heartbeat(target)
             elif number > self.last:
                 self._take_event(event, number)
+            else:
+                return WatchChange.REPEATED
+        return WatchChange.ANSWERED
 
     def _take_event(self, event: DiscoveryEvent, number: int) -> None:
         """Hand a new event on; under the gate."""
--- a/lilacloft/routing/catch_up.py
+++ b/lilacloft/routing/catch_up.py
@@ -5,11 +5,11 @@
 told since, before it has read the log to its end. Until then it accepts only copies that are younger than
 the grace within which a purge must be heeded: no purge counts against those yet.
 
-That costs fills, so it has an end: at once where a connection to the log is refused or not made in time, as
-it cannot be read then; `MAX_UNTOLD_TIME` after the log has answered, as a healthy one sends at once what has
-waited, though it shows its end only with its first heartbeat; otherwise after `MAX_LIMITED_TIME`. A
+That costs fills, so it has an end: at once where the log has shown its end by a heartbeat, or where a
+connection to it is refused or not made in time, as it cannot be read then; `MAX_UNTOLD_TIME` after the log
+has answered, by which time a connection that stays silent was given up; otherwise after `MAX_LIMITED_TIME`. A
 connection that was made is no answer, as the operating system accepts it also for a log that stands still;
-only at a start and at another address it is taken for one.
+only at a start and at another address it is taken for one, `MAX_UNANSWERED_TIME` later.
 """
 
 from __future__ import annotations
@@ -19,7 +19,8 @@
 from lilacloft.routing.units import Ticks
 
 MAX_LIMITED_TIME: Ticks = 30_000
-MAX_UNTOLD_TIME: Ticks = 1_000  # from the log's answer until what had waited there has come
+MAX_UNTOLD_TIME: Ticks = 22_000  # from the log's answer; a silent connection is followed no longer than that
+MAX_UNANSWERED_TIME: Ticks = 1_000  # from the first connection after a start, or at another address
 GRACE_SHARE = 0.5  # of the grace; the rest is for the way to the cache, and for clocks that differ
 MIN_AGE: Ticks = 1  # 0 would mean any age
 
@@ -29,7 +30,7 @@
 
     BEGUN = auto()  # nothing was read since the start, or at this address
     INTERRUPTED = auto()  # nothing was read since its connection ended, or since it is back
-    SETTLED = auto()  # it has answered since then, or cannot be read now
+    SETTLED = auto()  # it has told something new since then, or cannot be read now
 
 
 class CatchUp:
@@ -49,7 +50,7 @@
     def connected(self, now: Ticks) -> None:
         """A connection to the log was made: what has waited there comes once the log answers."""
         if self.progress is LogProgress.BEGUN:
-            self._shorten(now)
+            self._shorten(now + MAX_UNANSWERED_TIME)
         else:
             self._interrupt(now)
 
@@ -57,10 +58,15 @@
         """The connection to the log has ended: what it tells from now on is not read."""
         self._interrupt(now)
 
+    def repeated(self, now: Ticks) -> None:
+        """The log has sent its last event again: what has waited there comes now. It has told nothing new, so
+        another interruption wins no new time."""
+        self._shorten(now + MAX_UNTOLD_TIME)
+
     def answered(self, now: Ticks) -> None:
-        """The log has sent something on its new connection: what has waited there comes now."""
+        """The log has told something new on its new connection: what else has waited there comes now."""
         self.progress = LogProgress.SETTLED
-        self._shorten(now)
+        self._shorten(now + MAX_UNTOLD_TIME)
 
     def end(self) -> None:
         """The log was read to its end, or cannot be read now."""
@@ -78,5 +84,5 @@
             self.progress = LogProgress.INTERRUPTED
             self.limited_until = now + MAX_LIMITED_TIME
 
-    def _shorten(self, now: Ticks) -> None:
-        self.limited_until = min(self.limited_until, now + MAX_UNTOLD_TIME)
+    def _shorten(self, limited_until: Ticks) -> None:
+        self.limited_until = min(self.limited_until, limited_until)
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -202,8 +202,12 @@
         """The connection to the change log has ended."""
         self.freshness.catch_up.disconnected(self.host.now())
 
+    def discovery_repeated(self) -> None:
+        """The change log has sent an event again that was reported here before, and nothing new yet."""
+        self.freshness.catch_up.repeated(self.host.now())
+
     def discovery_answered(self) -> None:
-        """The change log has sent something on its connection, and all that came before was reported here."""
+        """The change log has sent something new on its connection, and that was reported here."""
         self.freshness.catch_up.answered(self.host.now())
 
     def discovery_caught_up(self) -> None:
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -72,7 +72,7 @@
 @pytest.fixture
 def slow_log(monkeypatch):
     """What a change log holds back comes within the time that it may take to tell."""
-    monkeypatch.setattr(catch_up, "MAX_UNTOLD_TIME", MAX_LIMITED_TIME)
+    monkeypatch.setattr(catch_up, "MAX_UNANSWERED_TIME", MAX_LIMITED_TIME)
 
 
 @pytest.fixture
@@ -80,11 +80,12 @@
     yield from made(Unheard, tmp_path)
 
 
-def asked_while_held(world, log):
-    """The distinct answers until the purge was read, with a change log that tells it `HELD` seconds later."""
+def asked_while_held(world, log, number=2):
+    """The distinct answers until the purge was read, with a change log that tells it `HELD` seconds later.
+    `number`: the purge's."""
     asker, answers = world.asker(), set()
     threading.Timer(HELD, log.released.set).start()
-    while world.owner.feed.last < 2:
+    while world.owner.feed.last < number:
         answers.add(asked(asker))
     world.does(lambda: None)  # the purge is taken in
     answers.add(asked(asker))
@@ -207,8 +208,8 @@
     catching_up.begin(0)
     assert catching_up.max_age(SEC) == LIMIT
     catching_up.connected(SEC)
-    assert catching_up.max_age(SEC + catch_up.MAX_UNTOLD_TIME - 1) == LIMIT
-    assert catching_up.max_age(SEC + catch_up.MAX_UNTOLD_TIME) == 0
+    assert catching_up.max_age(SEC + catch_up.MAX_UNANSWERED_TIME - 1) == LIMIT
+    assert catching_up.max_age(SEC + catch_up.MAX_UNANSWERED_TIME) == 0
     catching_up.connected(2 * SEC)
     assert catching_up.max_age(2 * SEC) == 0, "another connection wins no new time"
 
--- a/tests/test_read_barrier.py
+++ b/tests/test_read_barrier.py
@@ -1,10 +1,13 @@
-"""A change log that is connected to again is asked for its last event again, which shows whether it answers.
+"""A change log that is connected to again is asked for its last event again, which shows whether it answers,
+and one that has told something new is asked for its end, which shows whether there is more.
 
-The log of these worlds sends no heartbeat once it runs, so that nothing else shows its end, and asks on a
-second connection show as a second number in `since`.
+The log of these worlds sends no heartbeat once it runs, unless a test says so, so that nothing else shows its
+end, and asks on a second connection show as a second number in `since`.
 """
 
+import contextlib
 import errno
+import queue
 import random
 import socket
 import threading
@@ -12,7 +15,8 @@
 
 import pytest
 
-from lilacloft.net.read_barrier import answering_connection
+from lilacloft.net.discovery_watch import MAX_END_QUESTIONS
+from lilacloft.net.read_barrier import answering_connection, connection_to_end
 from lilacloft.routing.catch_up import MAX_LIMITED_TIME, MAX_UNTOLD_TIME, CatchUp
 from rigs.inprocess import until
 from rigs.model import SEC
@@ -20,6 +24,8 @@
 from tests.test_catch_up import FULL_AGE, GRACE, LIMIT, NEW, OLD, AgedCopies, asked, asked_while_held, purge
 
 REPEATED = framed(7, 1)
+HEARTBEAT = framed(0, 0)
+LISTED = (2, 2, record(9, 1))  # an event that purges nothing
 
 
 def reconnects(world, *frames):
@@ -82,6 +88,69 @@
     assert asked_while_held(world, world.log) == {NEW}
 
 
+class StopsBehindNew(Log):
+    """A log that tells one event of what is new, and stands still behind it until it is released."""
+
+    def _serve(self, sock):
+        if int.from_bytes(sock.recv(8, socket.MSG_PEEK | socket.MSG_WAITALL), "big") == 1:
+            sock.sendall(framed(*LISTED))
+        super()._serve(sock)
+
+
+def test_a_log_that_stands_still_between_a_new_event_and_a_purge_has_no_old_copy_served(in_process):
+    world = in_process(AgedCopies())
+    world.log.hold()
+    world.log.__class__ = StopsBehindNew
+    reconnects(world, LISTED, purge(3))
+    assert asked_while_held(world, world.log, 3) == {NEW}
+
+
+class BeatsAtItsEnd(Log):
+    """A log whose first heartbeat comes at once to who has all events, and to nobody else."""
+
+    def _serve(self, sock):
+        last = int.from_bytes(sock.recv(8, socket.MSG_PEEK | socket.MSG_WAITALL), "big")
+        super()._serve(sock)
+        if last == self.frames[-1][0]:
+            sock.sendall(HEARTBEAT)
+
+
+def test_a_log_that_shows_its_end_when_asked_limits_ages_no_longer_than_that(in_process):
+    copies = AgedCopies()
+    world = in_process(copies)
+    asker = world.asker()
+    world.log.__class__ = BeatsAtItsEnd
+    reconnects(world, LISTED)
+    assert world.log.since.get(timeout=MAX_UNTOLD_TIME / SEC / 2) == 2, (
+        "the end is asked for behind what was new"
+    )
+    until(lambda: asked(asker) == OLD, wait=MAX_UNTOLD_TIME / SEC / 2)
+    assert copies.asked_ages[-1] == FULL_AGE and world.owner.feed.status.current
+    world.log.add(*purge(3))
+    until(lambda: world.owner.feed.last == 3, what=lambda: "the connection that answered is followed")
+
+
+class HasOneMore(Log):
+    """A log that has one event more each time that it is asked."""
+
+    def _serve(self, sock):
+        last = int.from_bytes(sock.recv(8, socket.MSG_WAITALL), "big")
+        self.since.put(last)
+        with contextlib.suppress(OSError):
+            sock.sendall(framed(last + 1, 2, record(9, 1)))
+
+
+def test_a_log_that_has_one_event_more_each_time_is_asked_for_its_end_a_few_times_only(in_process):
+    world = in_process()
+    world.log.__class__ = HasOneMore
+    reconnects(world)
+    asked_for = [world.log.since.get(timeout=1) for _ in range(MAX_END_QUESTIONS)]
+    assert asked_for == list(range(2, MAX_END_QUESTIONS + 2))
+    with pytest.raises(queue.Empty):
+        world.log.since.get(timeout=0.3)
+    assert world.owner.feed.last == MAX_END_QUESTIONS + 2
+
+
 def test_discovery_moves_while_neither_connection_is_answered(in_process):
     world, other = in_process(), Log()
     world.log.hold()
@@ -148,6 +217,66 @@
         answering_connection(first, server.getsockname(), 7, time.monotonic() + 0.3)
 
 
+class SecondConnection:
+    """A followed connection, and a log that is asked for its end on a second one."""
+
+    def __init__(self):
+        self.first, self.log = socket.socketpair()
+        self.server = socket.create_server(("127.0.0.1", 0))
+
+    def asks(self):
+        return connection_to_end(self.first, self.server.getsockname(), 7)
+
+    def answers(self):
+        sock, _ = self.server.accept()
+        assert sock.recv(8, socket.MSG_WAITALL) == (7).to_bytes(8, "big")
+        sock.sendall(HEARTBEAT)
+
+    def close(self):
+        for sock in (self.first, self.log, self.server):
+            sock.close()
+
+
+@pytest.fixture
+def second_connection():
+    with contextlib.closing(SecondConnection()) as made:
+        yield made
+
+
+def test_the_connection_on_which_the_end_was_shown_is_followed(second_connection):
+    threading.Thread(target=second_connection.answers, daemon=True).start()
+    with second_connection.asks() as sock:
+        assert sock is not second_connection.first and sock.recv(99) == HEARTBEAT
+        assert second_connection.first.fileno() < 0
+
+
+def test_where_the_end_is_not_shown_the_first_connection_is_followed(second_connection):
+    assert second_connection.asks() is second_connection.first
+    assert second_connection.first.fileno() >= 0
+
+
+def test_where_the_end_cannot_be_asked_for_the_first_connection_is_followed(second_connection, monkeypatch):
+    def fails():
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(socket, "socket", fails)
+    assert second_connection.asks() is second_connection.first
+    assert second_connection.first.fileno() >= 0
+
+
+def test_where_a_second_connection_is_refused_the_first_connection_is_followed(second_connection):
+    address = second_connection.server.getsockname()
+    second_connection.server.close()
+    assert connection_to_end(second_connection.first, address, 7) is second_connection.first
+    assert second_connection.first.fileno() >= 0
+
+
+def test_what_comes_on_the_first_connection_meanwhile_is_read_there(second_connection):
+    second_connection.log.sendall(REPEATED)
+    assert second_connection.asks() is second_connection.first
+    assert second_connection.first.recv(99) == REPEATED
+
+
 # --- the decisions ---
 
 
@@ -192,3 +321,19 @@
     assert catching_up.max_age(SEC + MAX_UNTOLD_TIME) == LIMIT
     catching_up.answered(2 * SEC)
     assert catching_up.max_age(2 * SEC) == LIMIT and catching_up.max_age(2 * SEC + MAX_UNTOLD_TIME) == 0
+
+
+def test_a_repeated_event_wins_no_new_time_at_the_next_interruption():
+    """A log that sends its last event again each time, and nothing else, costs fills for a bounded time."""
+    catching_up = CatchUp(GRACE)
+    catching_up.disconnected(0)
+    catching_up.repeated(SEC // 10)
+    limited_until = SEC // 10 + MAX_UNTOLD_TIME
+    catching_up.disconnected(2 * SEC)
+    catching_up.connected(2 * SEC)
+    assert catching_up.max_age(limited_until - 1) == LIMIT and catching_up.max_age(limited_until) == 0
+    catching_up.repeated(limited_until)
+    assert catching_up.max_age(limited_until) == 0
+    catching_up.answered(limited_until)
+    catching_up.disconnected(limited_until)
+    assert catching_up.max_age(limited_until) == LIMIT, "something new was told: there may be more"
