A request with little time left no longer waits behind lost connections of others

What callers saw, beside heavy load: 503 some 0.05 to 0.22 s after their time, nearly all to clients with 0.12 s, while caches were started anew or gateways were told to end (rule 1).

Cause: EventLoop ran all internal events before timers, and those before clients' events, in turns whatever time was left. Internal are also lost connections, each of which has its requests sent again: new work of requests that had seconds, before one that had 0.12 s.

Late ones were taken 195 to 262 ms after they had come, behind up to four lost connections (25 to 46 ms each), others' arrivals and timers. A control that only sleeps woke 38 ms late at the most.

Change: replies go before other internal events (post_reply). Behind each other internal event replies, due timers and one request with 0.2 s left or less have their turn; among clients' events such a one has every second turn, as overdue ones had.

Why it works: the wait of a request or a deadline is one event and the replies, however many connections are lost at once.

Shown: 3 of the 4 new tests of tests/test_work_order.py fail 3 of 3 times without the change; the fourth bounds what may go before others.

--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -2,8 +2,8 @@
 
 Other threads only `post`. Everything else belongs to the thread of `run`. A callback must never wait for a
 peer. In which order events are taken is decided in lilacloft/routing/fair_queue.py; timers that are due run
-before each event of a client, so that no deadline waits for a batch of them. Times are `Ticks` of the
-gateway's clock.
+before each event of a client and behind each internal event but replies, so that no deadline waits for a
+batch of them. Times are `Ticks` of the gateway's clock.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from lilacloft.gateway.clock import GatewayClock, monotonic_ticks
 from lilacloft.gateway.counters import Counters
 from lilacloft.net.lag_histogram import GatewayLags
-from lilacloft.routing.fair_queue import FairQueue
+from lilacloft.routing.fair_queue import URGENT_TIME, FairQueue
 from lilacloft.routing.lag_margin import LagMargin
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
@@ -36,6 +36,7 @@
     posted_at: Ticks = 0  # by the monotonic clock; 0: the loop itself made it
     client: Hashable | None = None  # the client whose message or end it is; None: an internal event
     due_at: Ticks | None = None  # when the time of a client's request is over, by the monotonic clock
+    is_reply: bool = False  # a backend's answer; else what it is about may have to wait for those
 
 
 class ScheduledCall(NamedTuple):
@@ -95,6 +96,11 @@
         `due_at`: by the monotonic clock, when the time of a request is over; then it need not wait."""
         self.queue.put(Event(callback, arguments, monotonic_ticks(), client, due_at))
 
+    def post_reply(self, callback: Callback, *arguments: Any) -> None:
+        """Have a call made that takes a backend's answer: it goes before all that was posted otherwise. Any
+        thread may post."""
+        self.queue.put(Event(callback, arguments, monotonic_ticks(), is_reply=True))
+
     def call_at(self, at: Ticks, callback: Callback, *arguments: Any) -> None:
         """Have a call made at a time or after it."""
         self.timer_count += 1
@@ -127,7 +133,7 @@
         for _ in range(self.work.client_count + 1):
             self._run_internal()
             self._run_due_timers()
-            event = self.work.next_of_clients(self.clock.monotonic_time)
+            event = self.work.next_of_clients(self.clock.monotonic_time + URGENT_TIME)
             if event is None:
                 return
             self.run_event(event)
@@ -151,20 +157,40 @@
             return
 
     def _enqueue(self, event: Event) -> None:
-        self.work.add(event, event.client, event.due_at)
+        if event.is_reply:
+            self.work.add_reply(event)
+        else:
+            self.work.add(event, event.client, event.due_at)
 
     def _run_internal(self) -> None:
         """Run the internal events that have come, and once more those that have come meanwhile. A handover
         runs within one of them and takes all others itself."""
         for _ in range(MAX_INTERNAL_PASSES):
-            self._take_posted()
-            count = len(self.work.internal)
-            while count and self.work.internal:
-                count -= 1
+            self._run_replies()
+            for _ in range(len(self.work.internal)):
+                if not self.work.internal:
+                    break
                 self.run_event(self.work.internal.popleft())
+                self._run_urgent()
             if self.queue.empty():
                 return
 
+    def _run_replies(self) -> None:
+        """Run the replies that have come."""
+        self._take_posted()
+        for _ in range(len(self.work.replies)):
+            if self.work.replies:  # else a callback has taken the others
+                self.run_event(self.work.replies.popleft())
+
+    def _run_urgent(self) -> None:
+        """Run what should not wait for the next internal event: replies, due timers, and one request whose
+        time is nearly over."""
+        self._run_replies()
+        self._run_due_timers()
+        event = self.work.next_overdue(self.clock.monotonic_time + URGENT_TIME)
+        if event is not None:
+            self.run_event(event)
+
     def run_event(self, event: Event) -> None:
         """Make the call of an event; the clock was updated since the one before."""
         began = self.clock.monotonic_time
@@ -202,7 +228,7 @@
         waits_until = monotonic_ticks() + self.lag_threshold
         while self.has_unread_answers() and (remaining := waits_until - monotonic_ticks()) > 0:
             self._take_posted(remaining / TICKS_PER_SECOND)
-        self._run_internal()
+        self._run_replies()
         self.clock.update()
 
     def _record_lag(self, lag: Ticks) -> None:
--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -93,6 +93,7 @@
             self.now,
             self.dispatcher.attempt_ended,
             self.dispatcher.attempt_cancelled,
+            self.loop.post_reply,
         )
         self.back = Upstream(callbacks, self.settings, self.budgets.caches)
         self.back.write_soon = self.write_soon
--- a/lilacloft/net/upstream.py
+++ b/lilacloft/net/upstream.py
@@ -46,6 +46,7 @@
     now: Callable[[], Ticks]  # the gateway's time
     attempt_ended: Callable[..., None]  # with the attempt, the reason and, where there is one, the Reply
     attempt_cancelled: Callable[..., None]  # with the attempt, the reason and when the backend knows of it
+    post_reply: Callable[..., None] | None = None  # as `post`, for backends' answers; None: `post` does it
 
 
 class Upstream:
@@ -54,6 +55,7 @@
     def __init__(self, callbacks: UpstreamCallbacks, config: dict[str, Any], max_connections: int) -> None:
         limits = config["limits"]
         self.post, self.now = callbacks.post, callbacks.now
+        self.post_reply = callbacks.post_reply or callbacks.post
         self.attempt_ended = callbacks.attempt_ended
         self.attempt_cancelled = callbacks.attempt_cancelled
         self.answer_slack: Ticks = config["rules"]["answer_slack"]
@@ -239,7 +241,7 @@
         """Parse one answer and pass it to the event loop. Raises GarbledError."""
         reply = parse_reply(items, self.load_names)
         connection.mark_passed_on()  # first: the event loop may ask before this thread goes on
-        self.post(self.answered, connection, items[0], items[1], reply)
+        self.post_reply(self.answered, connection, items[0], items[1], reply)
 
     def connection_closed(self, connection: UpstreamConnection) -> None:
         """Pass the end of a connection to the event loop."""
--- a/lilacloft/routing/fair_queue.py
+++ b/lilacloft/routing/fair_queue.py
@@ -1,10 +1,11 @@
-"""The order of an event loop's work: internal events before clients' events, and clients take turns.
+"""The order of an event loop's work: replies, internal events, then clients' events, and clients take turns.
 
-Internal events are what requests that were let in wait for: replies, lost connections, what discovery tells.
-They are taken in the order in which they came. A client's events are taken in their own order, and clients
-take turns (round-robin fair queueing, RFC 970), so a client that sends many requests at once delays its own
-and hardly anybody else's. Every second one may be a request whose time is over, whoever's: all that is left
-to do is to say so, which costs little.
+Replies end what requests that were let in wait for, and cost little. The other internal events are lost
+connections, what discovery tells and the like: each may begin new work. Both are taken in the order in which
+they came. A client's events are taken in their own order, and clients take turns (round-robin fair queueing,
+RFC 970), so a client that sends many requests at once delays its own and hardly anybody else's. Every second
+one may be a request whose time is nearly over, whoever's; such a one may also be taken between two internal
+events (earliest deadline first), as it would be too late behind all of them.
 
 No I/O and no clock. Times are `Ticks` by one clock of the caller's.
 """
@@ -19,6 +20,8 @@
 
 from lilacloft.routing.units import Ticks
 
+URGENT_TIME: Ticks = 2_000  # a request with no more time left than that is urgent
+
 Item = TypeVar("Item")
 
 
@@ -43,7 +46,8 @@
     """The items that wait. Not thread-safe."""
 
     def __init__(self) -> None:
-        self.internal: deque[Item] = deque()
+        self.replies: deque[Item] = deque()
+        self.internal: deque[Item] = deque()  # all other internal items
         self.by_client: dict[Hashable, deque[ClientItem[Item]]] = {}
         self.round_robin: deque[Hashable] = deque()  # the clients of `by_client`, the next one first
         self.deadlines: list[ItemDeadline] = []  # a heap; what was dequeued in turn stays to its time
@@ -53,7 +57,11 @@
 
     def __bool__(self) -> bool:
         """Return whether anything waits."""
-        return bool(self.internal or self.client_count)
+        return bool(self.replies or self.internal or self.client_count)
+
+    def add_reply(self, item: Item) -> None:
+        """Add a reply behind the other replies."""
+        self.replies.append(item)
 
     def add(self, item: Item, client: Hashable | None = None, due_at: Ticks | None = None) -> None:
         """Add an item behind the others of its client; None: it is internal. `due_at`: when its time is
@@ -71,24 +79,40 @@
         if due_at is not None:
             heapq.heappush(self.deadlines, ItemDeadline(due_at, self.sequence, entry))
 
-    def next_of_clients(self, now: Ticks) -> Item | None:
-        """Take out the oldest item of the client whose turn it is, or before that one whose time is over;
-        None where no client's waits."""
-        entry = None if self.was_overdue else self._take_overdue(now)
+    def next_of_clients(self, by: Ticks) -> Item | None:
+        """Take out the oldest item of the client whose turn it is, or before that one whose time is over by
+        then; None where no client's waits."""
+        entry = None if self.was_overdue else self._take_overdue(by)
         self.was_overdue = entry is not None
-        entry = entry or self._take_in_turn()
+        return self._dequeue(entry or self._take_in_turn())
+
+    def next_overdue(self, by: Ticks) -> Item | None:
+        """Take out the client's item whose time is over first, if it is by then; else None."""
+        entry = self._take_overdue(by)
+        self.was_overdue = self.was_overdue or entry is not None
+        return self._dequeue(entry)
+
+    def next_internal(self) -> Item | None:
+        """Take out the first reply, or, where there is none, the first internal item; else None."""
+        if self.replies:
+            return self.replies.popleft()
+        return self.internal.popleft() if self.internal else None
+
+    def next(self, by: Ticks) -> Item | None:
+        """Take out what is to be done first; None where nothing waits."""
+        if self.replies or self.internal:
+            return self.next_internal()
+        return self.next_of_clients(by)
+
+    def _dequeue(self, entry: ClientItem[Item] | None) -> Item | None:
         if entry is None:
             return None
         entry.is_dequeued = True
         self.client_count -= 1
         return entry.item
 
-    def next(self, now: Ticks) -> Item | None:
-        """Take out what is to be done first; None where nothing waits."""
-        return self.internal.popleft() if self.internal else self.next_of_clients(now)
-
-    def _take_overdue(self, now: Ticks) -> ClientItem[Item] | None:
-        while self.deadlines and (self.deadlines[0].due_at <= now or self.deadlines[0].entry.is_dequeued):
+    def _take_overdue(self, by: Ticks) -> ClientItem[Item] | None:
+        while self.deadlines and (self.deadlines[0].due_at <= by or self.deadlines[0].entry.is_dequeued):
             entry = heapq.heappop(self.deadlines).entry
             if entry.is_dequeued:
                 continue
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -88,6 +88,39 @@
     assert served[-1] == "single" and served[:-1] == [(client, 0) for client in range(clients)]
 
 
+@given(st.lists(st.tuples(CLIENTS, st.none() | TIMES), max_size=40), TIMES)
+def test_what_is_overdue_is_taken_earliest_deadline_first_and_nothing_else(items, by):
+    queue = FairQueue()
+    for number, (client, due_at) in enumerate(items):
+        queue.add(number, client, due_at if client else None)
+    overdue = [
+        (due_at, number)
+        for number, (client, due_at) in enumerate(items)
+        if client and due_at is not None and due_at <= by
+    ]
+    assert list(iter(lambda: queue.next_overdue(by), None)) == [number for _, number in sorted(overdue)]
+    left = list(iter(lambda: queue.next(by), None))
+    assert sorted([*left, *(number for _, number in overdue)]) == list(range(len(items)))
+
+
+def test_after_an_overdue_item_between_others_it_is_the_turn_of_who_has_time_left():
+    queue = FairQueue()
+    queue.add("in time", "a", due_at=9)
+    queue.add("over", "b", due_at=1)
+    queue.add("over too", "b", due_at=1)
+    assert queue.next_overdue(1) == "over"
+    assert [queue.next_of_clients(1) for _ in range(2)] == ["in time", "over too"]
+
+
+def test_replies_go_before_other_work_in_hand():
+    queue = FairQueue()
+    queue.add("lost")
+    queue.add_reply("reply")
+    queue.add_reply("another")
+    assert queue and [queue.next(0) for _ in range(4)] == ["reply", "another", "lost", None]
+    assert not queue
+
+
 def test_work_in_hand_goes_before_what_clients_sent_earlier():
     queue = FairQueue()
     queue.add("request", "a client", due_at=0)
--- a/tests/test_work_order.py
+++ b/tests/test_work_order.py
@@ -342,6 +342,84 @@
     assert world.caches[0].next()
 
 
+# --- internal events that begin new work ---
+
+
+LITTLE = 150  # milliseconds that a client waits which has little time
+
+
+def internal_events(order, owner, count=BATCH):
+    """Post so many internal events that are no replies, as lost connections are; each is a step."""
+    for number in range(count):
+        owner.post(order.steps.append, ("internal", number))
+
+
+def internal_before(order, what, key, since=0):
+    """How many internal events were run before something was done, from a step on."""
+    end = order.steps.index((what, key), since)
+    return sum(step[0] == "internal" for step in order.steps[since:end])
+
+
+def test_a_request_with_little_time_left_is_taken_after_one_internal_event_at_most(in_process):
+    # guards rule 1: lost connections of other requests kept one waiting until its client's time was over
+    world = in_process(silent)
+    order, asker = WorkOrder(world.owner), world.asker()
+    posted(asker)
+    go = world.stall()
+    internal_events(order, world.owner)
+    asker.ask(key=SINGLE_KEY, allow=LITTLE)
+    posted(asker)
+    go.set()
+    until(order.taken)
+    assert internal_before(order, "taken", SINGLE_KEY) <= 1
+
+
+def test_a_request_with_little_time_left_is_taken_after_one_request_with_more_at_most(in_process):
+    # guards rule 1: clients took turns, whoever of them had how much time left
+    world = in_process(silent)
+    order = WorkOrder(world.owner)
+    clients, short = [world.asker() for _ in range(BATCH)], world.asker()
+    for client in (*clients, short):
+        posted(client)
+    go = world.stall()
+    for number, client in enumerate(clients):
+        client.ask(key=number, allow=3000)
+        posted(client)
+    short.ask(key=SINGLE_KEY, allow=LITTLE)
+    posted(short)
+    go.set()
+    until(lambda: order.taken() == BATCH + 1)
+    assert order.taken_before("taken", SINGLE_KEY) <= MAX_ARRIVALS_BETWEEN
+
+
+def test_requests_with_little_time_left_leave_every_second_turn_to_internal_events(in_process):
+    # guards what another order could break: who sends much with little time must not hold up all else
+    world = in_process(silent)
+    order, flood = WorkOrder(world.owner), world.asker()
+    posted(flood)
+    go = world.stall()
+    internal_events(order, world.owner)
+    batch(flood, allow=LITTLE)
+    go.set()
+    until(lambda: ("internal", BATCH - 1) in order.steps)
+    assert order.taken_before("internal", BATCH - 1) <= BATCH
+
+
+def test_a_reply_and_a_deadline_behind_internal_events_wait_for_one_of_them_at_most(busy):
+    # guards rule 1: the answer to one request waited until all that had happened to others was handled
+    since, go = len(busy.order.steps), busy.world.stall()
+    internal_events(busy.order, busy.world.owner)
+    replies(busy.world, *busy.reply[2:])
+    until(lambda: time.monotonic() > busy.over)
+    go.set()
+    for (asker, tag, _, _), word, key in (
+        (busy.reply, b"200", REPLY_KEY),
+        (busy.deadline, b"503", DEADLINE_KEY),
+    ):
+        assert asker.answer()[:2] == [tag, word]
+        assert internal_before(busy.order, "answered", key, since) <= 1
+
+
 # --- answers that lie unread ---
 
 
