A connection to the change log ends no limit of ages, at a start, a move or a hand-over either

Cause: CatchUp.connected ended the limit 0.1 s after the first connection (MAX_UNANSWERED_TIME). The operating system accepts connections for a log that stands still, so it showed nothing; beside load the receiver's first request came later than that.

Change: a connection ends no limit. What ends it is the log's heartbeat, for which it is asked behind what was new since, or 2.2 s behind its answer, a refused connection, or 3 s in all.

The fixture slow_log put the bound at 3 s for the tests of a start and a move; it is gone, so they now run, and hold, with the product's bounds. One test asked for the fault itself, copies of any age 0.1 s after a connection (limits_ages_for_a_moment_only). In its place stands one as strict with the bound that holds now: ages stay limited up to the last tick before MAX_LIMITED_TIME, are free at it, and another connection wins no new time.

--- a/lilacloft/routing/catch_up.py
+++ b/lilacloft/routing/catch_up.py
@@ -8,8 +8,7 @@
 That costs fills, so it has an end: at once where the log has shown its end by a heartbeat, or where a
 connection to it is refused or not made in time, as it cannot be read then; `MAX_UNTOLD_TIME` after the log
 has answered, by which time a connection that stays silent was given up; otherwise after `MAX_LIMITED_TIME`. A
-connection that was made is no answer, as the operating system accepts it also for a log that stands still;
-only at a start and at another address it is taken for one, `MAX_UNANSWERED_TIME` later.
+connection that was made is no answer, as the operating system accepts it also for a log that stands still.
 """
 
 from __future__ import annotations
@@ -20,7 +19,6 @@
 
 MAX_LIMITED_TIME: Ticks = 30_000
 MAX_UNTOLD_TIME: Ticks = 22_000  # from the log's answer; a silent connection is followed no longer than that
-MAX_UNANSWERED_TIME: Ticks = 1_000  # from the first connection after a start, or at another address
 GRACE_SHARE = 0.5  # of the grace; the rest is for the way to the cache, and for clocks that differ
 MIN_AGE: Ticks = 1  # 0 would mean any age
 
@@ -49,10 +47,7 @@
 
     def connected(self, now: Ticks) -> None:
         """A connection to the log was made: what has waited there comes once the log answers."""
-        if self.progress is LogProgress.BEGUN:
-            self._shorten(now + MAX_UNANSWERED_TIME)
-        else:
-            self._interrupt(now)
+        self._interrupt(now)
 
     def disconnected(self, now: Ticks) -> None:
         """The connection to the log has ended: what it tells from now on is not read."""
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -70,13 +70,7 @@
 
 
 @pytest.fixture
-def slow_log(monkeypatch):
-    """What a change log holds back comes within the time that it may take to tell."""
-    monkeypatch.setattr(catch_up, "MAX_UNANSWERED_TIME", MAX_LIMITED_TIME)
-
-
-@pytest.fixture
-def unheard(tmp_path, slow_log):
+def unheard(tmp_path):
     yield from made(Unheard, tmp_path)
 
 
@@ -134,7 +128,7 @@
 
 
 def test_a_configuration_that_moves_discovery_to_a_log_that_holds_back_has_no_old_copy_served(
-    in_process, slow_log
+    in_process,
 ):
     copies = AgedCopies()
     world = in_process(copies)
@@ -149,7 +143,7 @@
     other.close()
 
 
-def test_a_late_word_of_a_log_that_was_left_and_is_followed_again_proves_nothing(in_process, slow_log):
+def test_a_late_word_of_a_log_that_was_left_and_is_followed_again_proves_nothing(in_process):
     """Discovery is moved away and back within an instant, and back there it tells nothing any more."""
     copies = AgedCopies()
     world = in_process(copies)
@@ -202,16 +196,24 @@
     assert copies.asked_ages[-1] == FULL_AGE
 
 
-def test_a_log_that_tells_nothing_on_a_connection_limits_ages_for_a_moment_only():
-    """A healthy log shows its end up to a second after the connection, and many gateways start at once."""
+def test_a_log_that_tells_nothing_on_a_connection_limits_ages_for_a_bounded_time_only():
+    """A connection shows nothing, and where the log never answers each cache is filled anew meanwhile."""
     catching_up = CatchUp(GRACE)
     catching_up.begin(0)
     assert catching_up.max_age(SEC) == LIMIT
     catching_up.connected(SEC)
-    assert catching_up.max_age(SEC + catch_up.MAX_UNANSWERED_TIME - 1) == LIMIT
-    assert catching_up.max_age(SEC + catch_up.MAX_UNANSWERED_TIME) == 0
-    catching_up.connected(2 * SEC)
-    assert catching_up.max_age(2 * SEC) == 0, "another connection wins no new time"
+    assert catching_up.max_age(MAX_LIMITED_TIME - 1) == LIMIT
+    assert catching_up.max_age(MAX_LIMITED_TIME) == 0
+    catching_up.connected(MAX_LIMITED_TIME)
+    assert catching_up.max_age(MAX_LIMITED_TIME) == 0, "another connection wins no new time"
+
+
+def test_at_a_start_a_log_that_has_shown_its_end_limits_ages_no_longer(in_process):
+    """Many gateways start at once; the log of this world answers a connection with a heartbeat."""
+    copies = AgedCopies()
+    world = in_process(copies)
+    assert world.owner.router.freshness.catch_up.limited_until == 0
+    assert asked(world.asker()) == OLD and copies.asked_ages == [FULL_AGE]
 
 
 def test_once_the_log_was_read_to_its_end_ages_are_limited_by_purges_alone(unheard):
@@ -245,6 +247,24 @@
     assert_only_purged_copies_are_limited(asker, copies)
 
 
+def test_the_receiver_of_a_handover_takes_no_old_copy_for_as_long_as_the_log_holds_back(replaced):
+    copies = AgedCopies()
+    world = replaced(copies)
+    asker = world.asker()
+    assert asked(asker) == OLD
+    world.log.hold()
+    world.log.frames.append(purge())
+    assert world.upgrade() == (True, "")
+    assert world.log.since.get(timeout=5) == 1
+    threading.Timer(HELD / 2, world.log.released.set).start()
+    answers = set()
+    while not world.log.released.is_set():
+        answers.add(asked(asker))
+    assert answers == {NEW}
+    world.told("read to its end", 2)
+    assert_only_purged_copies_are_limited(asker, copies)
+
+
 def test_a_start_with_a_store_takes_no_copy_older_than_a_purge_that_came_while_it_was_down(replaced):
     copies = AgedCopies()
     world = replaced(copies, forms='(store (folder "store"))')
