--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -36,7 +36,7 @@
     posted_at: Ticks = 0  # by the monotonic clock; 0: the loop itself made it
     client: Hashable | None = None  # the client whose message or end it is; None: an internal event
     due_at: Ticks | None = None  # when the time of a client's request is over, by the monotonic clock
-    is_reply: bool = False  # a backend's answer; else what it is about may have to wait for those
+    is_reply: bool = False  # a backend's answer, which goes before other internal events
 
 
 class ScheduledCall(NamedTuple):
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -31,6 +31,7 @@
 
 HEARTBEAT_INTERVAL = 1.0  # seconds between two frames of a live log, at most
 MAX_SILENCE = 2 * HEARTBEAT_INTERVAL  # after which the connection is given up
+MAX_SILENCE_JITTER = 0.1  # of that time, by which gateways differ
 MIN_RATE = 100_000  # bytes a second of a long frame
 CONNECT_TIMEOUT = HEARTBEAT_INTERVAL / 2  # seconds
 MIN_BACKOFF = HEARTBEAT_INTERVAL / 32
@@ -198,7 +199,7 @@
 
     def _silence_deadline(self) -> float:
         """Return when the connection is given up as silent; in monotonic seconds."""
-        return time.monotonic() + MAX_SILENCE * (1 + self._jitter() / 10)
+        return time.monotonic() + MAX_SILENCE * (1 + MAX_SILENCE_JITTER * self._jitter())
 
     def _receive(self, sock: socket.socket, target: WatchTarget, deadline: float) -> WatchChange:
         """Read one frame that has to come by a deadline, and hand its event on if it is new. Returns ANSWERED
--- a/tests/test_read_barrier.py
+++ b/tests/test_read_barrier.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from lilacloft.net.discovery_watch import MAX_END_QUESTIONS
+from lilacloft.net.discovery_watch import MAX_END_QUESTIONS, MAX_SILENCE, MAX_SILENCE_JITTER
 from lilacloft.net.read_barrier import answering_connection, connection_to_end
 from lilacloft.routing.catch_up import MAX_LIMITED_TIME, MAX_UNTOLD_TIME, CatchUp
 from rigs.inprocess import until
@@ -323,6 +323,11 @@
     assert catching_up.max_age(2 * SEC) == LIMIT and catching_up.max_age(2 * SEC + MAX_UNTOLD_TIME) == 0
 
 
+def test_after_an_answer_ages_are_limited_for_as_long_as_a_silent_connection_is_followed():
+    """What waits behind the answer may still come on it."""
+    assert MAX_UNTOLD_TIME / SEC >= MAX_SILENCE * (1 + MAX_SILENCE_JITTER)
+
+
 def test_a_repeated_event_wins_no_new_time_at_the_next_interruption():
     """A log that sends its last event again each time, and nothing else, costs fills for a bounded time."""
     catching_up = CatchUp(GRACE)
