A change log's stand-in tells the numbers that it is asked for in the order of its connections

Cause: the stand-in, not the gateway. The gateway names 1 on its first connection, and asks again on a second one 30 ms later at the earliest. Each connection has a thread of the stand-in, which puts its number into one queue; a thread that gets no processor for 30 ms puts it behind the other's.

Now the numbers come out of the queue in the order in which the connections were accepted, whichever thread tells first (rigs/named_numbers.py). No thread of a stand-in waits for that: get does. A connection that ends counts no more, and one that names nothing holds back later ones for 1 s. The checks are as they were: they ask for the same numbers in the same order.

The order is forced in ReadsTheFirstLate: that test failed before (0 == 1).

--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -20,6 +20,7 @@
 
 from lilacloft.handover.request import request_upgrade
 from lilacloft.net.resp import MessageBuffer, encode, encode_fields
+from rigs.named_numbers import NamedNumbers
 
 logger.remove()  # threads of earlier tests may log when the test runner's standard error is gone
 
@@ -108,7 +109,12 @@
             except OSError:
                 return
             self.socks.append(sock)
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+            thread = threading.Thread(target=self._serve, args=(sock,), daemon=True)
+            self.accepted(thread)
+            thread.start()
+
+    def accepted(self, thread):
+        """A connection was accepted, which a thread will serve."""
 
     def _serve(self, sock):
         buffer = self.new_buffer(sock)
@@ -176,10 +182,13 @@
     released.set()
 
     def __init__(self, frames=(), port=0):
-        self.frames, self.since = list(frames), queue.SimpleQueue()
+        self.frames, self.since = list(frames), NamedNumbers()
         self.order, self.follow = threading.Lock(), []  # who has had all frames so far
         super().__init__(port=port)
 
+    def accepted(self, thread):
+        self.since.expect(thread)
+
     def hold(self):
         """Accept connections from now on, and tell nothing on them before `released` is set."""
         self.released = threading.Event()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -1,7 +1,6 @@
 """Descriptors that run short: idle clients take what they get; discovery, caches and files get theirs."""
 
 import os
-import queue
 import re
 import signal
 import socket
@@ -20,6 +19,7 @@
 from lilacloft.protocol_settings import from_protocol
 from lilacloft.routing.model import Backend
 from rigs.inprocess import waits_for
+from rigs.named_numbers import NamedNumbers
 from rigs.stands import ENV, Asker, Log, Stand, record, serves
 
 
@@ -65,7 +65,7 @@
     """A change log that is back at the port of one that was down."""
 
     def __init__(self, port, frames):
-        self.frames, self.since = frames, queue.SimpleQueue()
+        self.frames, self.since = frames, NamedNumbers()
         self.order, self.follow = threading.Lock(), []
         Stand.__init__(self, port=port)
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -35,6 +35,7 @@
 from lilacloft.protocol_settings import from_protocol
 from lilacloft.routing.model import Backend
 from rigs.inprocess import InProcessWorld, closes, forgets, halves, limits, resets, until, waits_for
+from rigs.named_numbers import NamedNumbers
 from rigs.stands import ENV, Asker, Log, Stand, World, framed, record, serves, silent, unused
 
 CLIP = b"x" * 200_000
@@ -854,7 +855,7 @@
 
     def __init__(self, frames, port):
         self.given = frames
-        self.frames, self.since = [], queue.SimpleQueue()
+        self.frames, self.since = [], NamedNumbers()
         self.order, self.follow = threading.Lock(), []
         Stand.__init__(self, port=port)
 
--- a/tests/test_read_barrier.py
+++ b/tests/test_read_barrier.py
@@ -16,10 +16,11 @@
 import pytest
 
 from lilacloft.net.discovery_watch import MAX_END_QUESTIONS, MAX_SILENCE, MAX_SILENCE_JITTER
-from lilacloft.net.read_barrier import answering_connection, connection_to_end
+from lilacloft.net.read_barrier import HEAD_START_MS, RESUME, answering_connection, connection_to_end
 from lilacloft.routing.catch_up import MAX_LIMITED_TIME, MAX_UNTOLD_TIME, CatchUp
 from rigs.inprocess import until
 from rigs.model import SEC
+from rigs.named_numbers import MAX_HOLD_BACK
 from rigs.stands import Log, framed, record
 from tests.test_catch_up import FULL_AGE, GRACE, LIMIT, NEW, OLD, AgedCopies, asked, asked_while_held, purge
 
@@ -49,6 +50,33 @@
     assert (feed.last, feed.events, feed.status.at) == (1, 0, at) and set(world.owner.backends) == listed
 
 
+class ReadsTheFirstLate(Log):
+    """A log on a busy machine: who serves the first connection comes to it after the second was served."""
+
+    def _serve(self, sock):
+        if int.from_bytes(sock.recv(8, socket.MSG_PEEK | socket.MSG_WAITALL), "big") == 1:
+            time.sleep(3 * HEAD_START_MS / 1000)
+        super()._serve(sock)
+
+
+def test_the_stand_in_tells_the_numbers_in_the_order_of_the_connections_that_named_them(in_process):
+    world = in_process()
+    world.log.__class__ = ReadsTheFirstLate
+    reconnects(world)
+    assert world.log.since.get(timeout=5) == 0
+
+
+def test_a_connection_that_names_no_number_holds_back_those_of_later_ones_for_a_bounded_time():
+    log, begun = Log(), time.monotonic()
+    with socket.create_connection(("127.0.0.1", log.port)) as silent:
+        with socket.create_connection(("127.0.0.1", log.port)) as later:
+            later.sendall(RESUME.pack(4))
+            assert log.since.get(timeout=MAX_HOLD_BACK + 1) == 4 and time.monotonic() - begun > MAX_HOLD_BACK
+        silent.sendall(RESUME.pack(3))
+        assert log.since.get(timeout=1) == 3
+    log.close()
+
+
 class HoldsNew(Log):
     """A log that tells nothing to who asks for what is new, and all to who asks for its last event again."""
 
