The rig dates its own writes for a kernel that counts a jiffy late

Cause: struct tcp_info counts in jiffies of 4 ms, and one jiffy was taken off for that. That is enough while each jiffy is counted when it is over; a processor that gets to its tick late counts it later.

--- a/rigs/kernel_times.py
+++ b/rigs/kernel_times.py
@@ -5,7 +5,8 @@
 have none, the end of a stream, and the rig's own writes by `struct tcp_info` (tcp(7)), which counts in
 jiffies. Where the kernel proves nothing, the rig's own time counts.
 
-No time that is returned for received bytes is earlier than the true one, and none for sent bytes is later. A
+No time that is returned for received bytes is earlier than the true one, and none for sent bytes is later. The
+latter holds while the kernel counts a jiffy no more than `MAX_TICK_DELAY` late. A
 message that lay unread with others behind it has the time of the last of them.
 """
 
@@ -25,6 +26,7 @@
 )
 
 JIFFY = 0.004  # seconds; the resolution of the times in `struct tcp_info`, at 250 Hz
+MAX_TICK_DELAY = JIFFY  # by which the kernel may count a jiffy late on a busy machine
 SO_TIMESTAMPNS = 35  # the socket module of Python 3.11 does not name it
 TIMESPEC = struct.Struct("@ll")
 NS_PER_SECOND = 1e9
@@ -113,4 +115,4 @@
             return began
         if time.time() - now < JIFFY:
             break
-    return max(began, now - milliseconds / MILLISECONDS_PER_SECOND - JIFFY)
+    return max(began, now - milliseconds / MILLISECONDS_PER_SECOND - JIFFY - MAX_TICK_DELAY)
--- a/tests/test_kernel_times.py
+++ b/tests/test_kernel_times.py
@@ -18,7 +18,10 @@
 from rigs.inprocess import until
 from rigs.kernel_times import (
     JIFFY,
+    LAST_DATA_SENT,
+    MILLISECONDS_PER_SECOND,
     SO_TIMESTAMPNS,
+    TCP_INFO_SIZE,
     TimestampedBuffer,
     closed_by_peer_at,
     timestamp_received_bytes,
@@ -458,6 +461,22 @@
         assert sock.sent_at[0] - 2 * JIFFY - 0.05 <= written_at <= sock.sent_at[1]
 
 
+class LateTicks(SlowSocket):
+    """A socket of a kernel that has not counted the last jiffy yet, of a time that began with a jiffy."""
+
+    def getsockopt(self, *told):
+        since = time.time() - self.sent_at[1]
+        counted = JIFFY * (int(since / JIFFY) - 1)
+        return LAST_DATA_SENT.pack(round(counted * MILLISECONDS_PER_SECOND)).ljust(TCP_INFO_SIZE, b"\0")
+
+
+def test_a_write_is_not_dated_later_where_a_jiffy_is_counted_late(pair):
+    for wait in (0.1, 0.1 + JIFFY / 4, 0.1 + JIFFY / 2, 0.1 + 3 * JIFFY / 4):
+        sock = LateTicks(pair[0], 0.1, wait)
+        written_at = write_timed(sock, b"x" * 100)
+        assert sock.sent_at[0] - 3 * JIFFY - 0.05 <= written_at <= sock.sent_at[1]
+
+
 def test_a_write_that_fails_counts_from_its_beginning(pair):
     near, _ = pair
     near.sendall(b"x")
