--- a/rigs/kernel_times.py
+++ b/rigs/kernel_times.py
@@ -5,9 +5,9 @@
 have none, the end of a stream, and the rig's own writes by `struct tcp_info` (tcp(7)), which counts in
 jiffies. Where the kernel proves nothing, the rig's own time counts.
 
-No time that is returned for received bytes is earlier than the true one, and none for sent bytes is later. The
-latter holds while the kernel counts a jiffy no more than `MAX_TICK_DELAY` late. A
-message that lay unread with others behind it has the time of the last of them.
+No time that is returned for received bytes is earlier than the true one, and none for sent bytes is later,
+the latter while no jiffy is counted later than by `MAX_TICK_DELAY`. A message that lay unread with others
+behind it has the time of the last of them.
 """
 
 from __future__ import annotations
