--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,8 +19,7 @@
 from lilacloft.protocol_settings import from_protocol
 from lilacloft.routing.model import Backend
 from rigs.inprocess import waits_for
-from rigs.named_numbers import NamedNumbers
-from rigs.stands import ENV, Asker, Log, Stand, record, serves
+from rigs.stands import ENV, Asker, Log, record, serves
 
 
 @pytest.mark.parametrize("sockets", [1, 8, 11, 32, 64, 512, 4096])
@@ -65,9 +64,7 @@
     """A change log that is back at the port of one that was down."""
 
     def __init__(self, port, frames):
-        self.frames, self.since = frames, NamedNumbers()
-        self.order, self.follow = threading.Lock(), []
-        Stand.__init__(self, port=port)
+        super().__init__(frames, port)
 
 
 def served(port, key):
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -35,8 +35,7 @@
 from lilacloft.protocol_settings import from_protocol
 from lilacloft.routing.model import Backend
 from rigs.inprocess import InProcessWorld, closes, forgets, halves, limits, resets, until, waits_for
-from rigs.named_numbers import NamedNumbers
-from rigs.stands import ENV, Asker, Log, Stand, World, framed, record, serves, silent, unused
+from rigs.stands import ENV, Asker, Log, World, framed, record, serves, silent, unused
 
 CLIP = b"x" * 200_000
 ASKED = b"ref=%016x,allow=3000,lookup=%016x,nth=0,batch=7,room=400"
@@ -855,9 +854,7 @@
 
     def __init__(self, frames, port):
         self.given = frames
-        self.frames, self.since = [], NamedNumbers()
-        self.order, self.follow = threading.Lock(), []
-        Stand.__init__(self, port=port)
+        super().__init__(port=port)
 
     def _serve(self, sock):
         self.since.put(struct.unpack(">Q", sock.recv(8, socket.MSG_WAITALL))[0])
