--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,7 +85,7 @@
             contextlib.suppress(*BROKEN_PIPE),
             socket.create_connection(("127.0.0.1", depot.gateway.port), 5) as sock,
         ):
-            sock.settimeout(6)
+            sock.settimeout(12)
             sock.sendall(one)
             depot.record.add("bad", client=number, sent=len(one))
             answers = 0
@@ -123,7 +123,7 @@
     if trouble:
         for number, one in enumerate(data):
             bad_client(depot, number, one)
-    time.sleep(8.0)
+    time.sleep(12.0)
     done.set()
     for thread in load:
         thread.join()
