Requests that are read and not finished have a budget of memory, shared by dynamic thresholds

The gateway passes its 192 MB within 2 s and is killed; what usual clients have open then has no answer. Left alive it grew to 305 MB, and usual clients' answers came up to 2.8 s after they were asked for (2.0 s allowed).

Cause: readers passed on whatever came (`Downstream._handle_request`), up to 32 open requests a connection, and without any bound where a client cancelled as fast as it sent. Nothing made them wait for the event loop, which got no turns of the interpreter's lock beside 200 readers: by a probe in a scratch copy it handled 36 requests in 2.7 s, while 5,828 with 263 MB of bodies lay in its queue. Timers kept bodies of answered requests for up to 3 s more (some MB).

Change: `RequestLedger` reserves the memory of each request that is passed on (its body twice, as received and in the message to a backend, and 4 KB), until it is finished; the body is let go then. The budget is a quarter of `memory_mb`, as for answers that are not read. `routing/request_memory.py` decides: a client may occupy as much as is free for all, so that a part stays free however many take all they may. What has no room is rejected at once, with a Retry-After where the settings allow it. A reader that has passed on 200 KB since the event loop last handled all of it waits for that; what lies unread meanwhile is dated no later than the wait began. SIGUSR1 and the end log the ledger's budget, most and rejections.

In a trial the reader's wait looked every 20 ms whether its connection had been closed: 200 waiting readers took the interpreter's lock 10,000 times a second for that, and answers came up to 5 s late; it looks once a second now.

Two tests are extended for it, none is weakened: one names the new resource among those that an open request holds, one passes the new limits.

--- a/lilacloft/gateway/client_requests.py
+++ b/lilacloft/gateway/client_requests.py
@@ -13,6 +13,7 @@
 from lilacloft.invariants import IdempotencyRule, RequestHistory
 from lilacloft.net.client_connection import ClientConnection
 from lilacloft.net.client_request import ClientRequest
+from lilacloft.net.downstream import retry_after_fields
 from lilacloft.routing.model import RejectReason, Request
 from lilacloft.routing.units import Ticks
 
@@ -44,6 +45,7 @@
             client_request.client.close_reason is not None
             or client_request.client.open.get(client_request.tag) is not client_request
         ):
+            self.gateway.downstream.request_ledger.release(client_request)
             return
         gateway = self.gateway
         client_timeout = gateway.vhosts[client_request.vhost]["client_timeout"]
@@ -151,10 +153,7 @@
 
     def reject(self, request: Request, retry_after: Ticks) -> None:
         """Send a rejection; `retry_after`: 0 sends no retry time."""
-        fields: AnswerFields = ()
-        if retry_after:
-            fields = (("cooldown", -(-retry_after // TICKS_PER_MILLISECOND)),)
-        self._finish(request, AnswerKind.REJECTED, fields)
+        self._finish(request, AnswerKind.REJECTED, retry_after_fields(retry_after))
 
     def fail(self, request: Request) -> None:
         """Send the answer that a request has failed."""
--- a/lilacloft/gateway/dispatcher.py
+++ b/lilacloft/gateway/dispatcher.py
@@ -154,7 +154,8 @@
         if not client_request.request.finished:
             return
         if client_request.attempt is None:
-            self.gateway.open_requests.pop(client_request.request, None)
+            if self.gateway.open_requests.pop(client_request.request, None) is not None:
+                self.gateway.downstream.request_ledger.release(client_request)
         else:
             self._withdraw_unsent(client_request.attempt)
 
--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -38,6 +38,7 @@
 from lilacloft.routing.host import Dispatch, HealthChange, Timer
 from lilacloft.routing.model import Backend, Request
 from lilacloft.routing.router import Router
+from lilacloft.routing.settings import RoutingSettings
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
 HEARTBEAT_INTERVAL: Ticks = 500  # the event loop wakes at least this often, so that pauses are detected
@@ -74,7 +75,12 @@
             self.loop.post,
             self,
             self.vhosts,
-            DownstreamLimits(self.budgets.clients, configuration.max_transfer_size),
+            DownstreamLimits(
+                self.budgets.clients,
+                configuration.max_transfer_size,
+                self.budgets.requests,
+                RoutingSettings.from_mapping(self.settings).retry_after,
+            ),
             ListenEndpoint(parse_address(configuration.listen), sock),
         )
         self.discovery = Discovery(self)
--- a/lilacloft/gateway/reporting.py
+++ b/lilacloft/gateway/reporting.py
@@ -47,6 +47,7 @@
         yield "violations", gateway.invariants.violations()
         yield "log", {"connects": gateway.discovery_watch.connects, "events": gateway.discovery_watch.events}
         yield "held", self.open_resources()
+        yield "request memory", gateway.downstream.request_ledger.summary()
         for kind in fields(GatewayLags):
             yield f"lag of {kind.name}", getattr(gateway.lags, kind.name).summary()
         yield "waited for a processor", asdict(processor_wait())
@@ -89,6 +90,7 @@
             "clients": len(gateway.downstream.clients),
             "parting": len(gateway.downstream.draining),
             "unwritten": sum(client.unsent_bytes() for client in list(gateway.downstream.clients)),
+            "request_bytes": gateway.downstream.request_ledger.reserved,
             "out": sum(attempt.client_request is not None for attempt in in_flight),
             "checks": sum(attempt.client_request is None for attempt in in_flight),
             "reqs": sum(len(backend.requests) for backend in backends),
--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -190,6 +190,7 @@
             if client_request.client in transferred:
                 del gateway.open_requests[request]
                 gateway.downstream.requests_by_name.pop(client_request.name, None)
+                gateway.downstream.request_ledger.release(client_request)
         gateway.timers = [
             entry for entry in gateway.timers if entry[2] in (gateway.run_maintenance, gateway.heartbeat)
         ]
--- a/lilacloft/handover/state_restore.py
+++ b/lilacloft/handover/state_restore.py
@@ -212,6 +212,8 @@
             "",
             self.gateway.request_history(client_request, request),
         )
+        client_request.reserved_bytes = 0
+        self.gateway.downstream.request_ledger.reserve_restored(client_request)
         client_request.connections = [
             ENDED_CONNECTION if index < 0 else upstreams[index] for index in state.connections
         ]
--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -26,6 +26,8 @@
 PREDECESSOR_DETECTION_DELAY: Ticks = 10_000  # maximum delay in detecting the end of the previous process
 MAX_ACCEPT_DELAY: Ticks = 500  # a longer one affects requests' arrival times; the kernel counts in jiffies
 POLL_INTERVAL = 0.02  # seconds
+CLOSE_CHECK_INTERVAL = 1.0  # seconds; short intervals of many waiting readers would take up the processor
+MAX_UNHANDLED_BYTES = 200_000  # of requests that a reader passes on before the event loop has handled them
 
 
 class RequestEvents(Protocol):
@@ -106,12 +108,17 @@
         )
         self.taken = self.settled = 0  # requests accepted by the reader, and settled by the event loop
         self.open: dict[bytes, ClientRequest] = {}  # by tag: the reader adds, the event loop removes
+        self.reserved_bytes = 0  # of its requests, in the `RequestLedger`
+        # of the requests read since the event loop was last known to have handled all of them
+        self.unhandled_bytes = 0
         self.used = time.monotonic()  # when a message was last received or an answer sent
         self.write_progress = (0, self.used)  # bytes written, and since when this count is unchanged
         self.input_ended: Ticks | None = None  # the earliest possible time, by the monotonic clock
         self.connected_at: Ticks = 0  # by the monotonic clock; 0: unknown
         self.accepted_late = False  # may there be input that arrived before it was accepted?
         self.emptied_at: Ticks = 0  # when all input had been read, by the monotonic clock; 0: unknown
+        # when reading was paused, by the monotonic clock, for what may not all be read yet; 0: it was not
+        self.paused_reading_at: Ticks = 0
         # `last_input_at` at the last check, and since when there is unread input
         self.unread_since = (0.0, 0)
         downstream.unclosed[self] = None
@@ -131,7 +138,13 @@
         self.downstream.gateway.lags.writes.record(int(seconds * TICKS_PER_SECOND))
 
     def apply_backpressure(self) -> None:
-        """Stop reading while the client does not read; report its half-close meanwhile."""
+        """Stop reading while the client does not read, and while too much waits for the event loop."""
+        self._wait_until_client_reads()
+        if self.unhandled_bytes > MAX_UNHANDLED_BYTES:
+            self._wait_until_handled()
+
+    def _wait_until_client_reads(self) -> None:
+        """Wait while the client does not read its answers; report its half-close meanwhile."""
         reported = False
         while self.wait_for_backlog(MAX_PART_SIZE, POLL_INTERVAL):
             self.disconnected_since()
@@ -140,6 +153,20 @@
                 events = self.downstream.gateway.requests
                 self.downstream.post(events.client_half_closed, self, self.input_ended, client=self)
 
+    def _wait_until_handled(self) -> None:
+        """Wait until the event loop has handled all requests that were read.
+
+        A reader that only rejects requests waits as well: many that read without a pause would leave the
+        event loop's thread no time."""
+        self.paused_reading_at = self.paused_reading_at or time.monotonic_ns() // NS_PER_TICK
+        handled = threading.Event()
+        self.downstream.post(handled.set, client=self)
+        while self.close_reason is None and not handled.wait(CLOSE_CHECK_INTERVAL):
+            pass
+        self.unhandled_bytes = 0
+        if not self._has_more_input():
+            self.paused_reading_at = 0
+
     def wait_for_answers(self, reason: CloseReason) -> None:
         """Wait for the answers to the requests that were read: the client may have closed only its half.
 
@@ -253,22 +280,29 @@
         """Return the earliest time at which the message just read may have arrived.
 
         That is when the kernel received the last byte, unless more input follows. Then the message may have
-        been unread for as long as this process lags, or since the start of a pause, or, if the connection was
-        accepted late and its early input is not all read, since the connection was established. It is never
-        earlier than the time at which the connection was established or all input had been read."""
+        been unread for as long as this process lags, or since the start of a pause of the process or of this
+        reader, or, if the connection was accepted late and its early input is not all read, since the
+        connection was established. It is never earlier than the time at which the connection was established
+        or all input had been read."""
         last, paused_since = self.last_byte_at(), self.downstream.gateway.paused_since()
         now = time.monotonic_ns() // NS_PER_TICK
         lag = self.downstream.gateway.lag_margin.current(now)
-        if paused_since is None and not lag and not self.accepted_late:
+        if paused_since is None and not lag and not self.accepted_late and not self.paused_reading_at:
             return last
-        if not (self.buffer.has_partial() or poll_events(self.sock, select.POLLIN)):
-            self.emptied_at, self.accepted_late = now, False
+        if not self._has_more_input():
+            self.emptied_at, self.accepted_late, self.paused_reading_at = now, False, 0
             return last
         since = last - lag if paused_since is None else self._unread_since(paused_since)
+        if self.paused_reading_at:
+            since = min(since, self.paused_reading_at - lag)
         if self.accepted_late:
             since = min(since, self.connected_at)
         return min(last, max(since, self.connected_at, self.emptied_at))
 
+    def _has_more_input(self) -> bool:
+        """Return whether input follows the last message that was read."""
+        return self.buffer.has_partial() or bool(poll_events(self.sock, select.POLLIN))
+
     def _unread_since(self, paused_since: Ticks) -> Ticks:
         """Return since when input may have been unread, after a pause."""
         connected_since = self.connected_at > paused_since - PREDECESSOR_DETECTION_DELAY
--- a/lilacloft/net/client_request.py
+++ b/lilacloft/net/client_request.py
@@ -20,6 +20,7 @@
     """What a request uses of its client's connection (lilacloft/net/client_connection.py)."""
 
     open: dict[bytes, ClientRequest]
+    reserved_bytes: int
     input_ended: Ticks | None
 
     def disconnected_since(self) -> Ticks | None:
@@ -51,6 +52,7 @@
         "cancelled_at",
         "history",
         "last_outcome",
+        "reserved_bytes",
     ]
 
     def __init__(self, client: RequestingClient, items: list[bytes], vhost: int, at: Ticks) -> None:
@@ -79,6 +81,7 @@
         self.cancelled_at: Ticks = 0  # when its client cancelled it, by the monotonic clock; 0: not
         self.history: Any = None  # state of the invariant checks, once the gateway has created it
         self.last_outcome = ""  # of the last attempt
+        self.reserved_bytes = 0  # in the `RequestLedger`
 
     def disconnected_since(self) -> Ticks | None:
         """Return since when, by the monotonic clock, nobody may be waiting for the answer: 0 if the request
--- a/lilacloft/net/downstream.py
+++ b/lilacloft/net/downstream.py
@@ -25,8 +25,10 @@
 from lilacloft.net.connection import DRAIN_TIME, Connection
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.polling import poll_events
+from lilacloft.net.request_ledger import RequestLedger
 from lilacloft.net.resp import GarbledError, encode, encode_fields
 from lilacloft.protocol_settings import NS_PER_TICK
+from lilacloft.routing.request_memory import memory_of_request
 from lilacloft.routing.units import TICKS_PER_MILLISECOND, Ticks
 
 IDLE_TIMEOUT = 4.0  # seconds; by then clients close idle connections themselves
@@ -61,6 +63,13 @@
 
     max_clients: int
     max_kbytes: float  # of an object: the most that can be sent within the longest client timeout
+    max_request_bytes: int  # of the requests of all clients
+    retry_after: Ticks  # stated in rejections; 0: none may be stated
+
+
+def retry_after_fields(retry_after: Ticks) -> tuple[tuple[str, object], ...]:
+    """Return the fields of a rejection; `retry_after`: 0 states no retry time."""
+    return (("cooldown", -(-retry_after // TICKS_PER_MILLISECOND)),) if retry_after else ()
 
 
 class Downstream:
@@ -77,6 +86,8 @@
         """`post` queues a call for the event loop's thread, as `EventLoop.post`; any thread may call it."""
         self.post, self.gateway = post, gateway
         self.max_kbytes = limits.max_kbytes
+        self.rejection_fields = retry_after_fields(limits.retry_after)
+        self.request_ledger = RequestLedger(limits.max_request_bytes)
         self.requests_by_name: dict[str, ClientRequest] = {}  # open ones: readers add, the event loop removes
         self.vhosts = {vhost["name"].encode(): index for index, vhost in enumerate(vhosts)}
         self.vhosts_with_keys = {index for index, vhost in enumerate(vhosts) if vhost["effect"] == "uniqued"}
@@ -264,18 +275,33 @@
             raise GarbledError("tag of an open request")  # their answers could not be told apart
         try:
             request = self._parse_request(client, items, at)
-            accepted = client.accept_request(request)
+            self._accept_request(client, request)
         except (ValueError, KeyError, GarbledError):
             self._reject(client, tag, ERROR)
         except OverflowError:
             self._reject(client, tag, OVERLOADED)
-        else:
+
+    def _accept_request(self, client: ClientConnection, request: ClientRequest) -> None:
+        """Pass a valid request on, or reject it if there is no memory for it. Raises ValueError if another
+        request of its name is open."""
+        has_memory = self.request_ledger.reserve(request)
+        client.unhandled_bytes += memory_of_request(len(request.body))
+        if not has_memory:
             client.useless_message_count = 0
-            if accepted:
-                self.counts["reqs"] += 1
-                client.mark_passed_on()  # before posting: the event loop may handle it at once
-                due_at = request.at + request.timeout_ms * TICKS_PER_MILLISECOND
-                self.post(self.gateway.requests.arrived, request, client=client, due_at=due_at)
+            self.answer(client, request.tag, OVERLOADED, self.rejection_fields)
+            return
+        accepted = False
+        try:
+            accepted = client.accept_request(request)
+        finally:
+            if not accepted:
+                self.request_ledger.release(request)
+        client.useless_message_count = 0
+        if accepted:
+            self.counts["reqs"] += 1
+            client.mark_passed_on()  # before posting: the event loop may handle it at once
+            due_at = request.at + request.timeout_ms * TICKS_PER_MILLISECOND
+            self.post(self.gateway.requests.arrived, request, client=client, due_at=due_at)
 
     def _parse_request(self, client: ClientConnection, items: list[bytes], at: Ticks) -> ClientRequest:
         """Parse a request. Raises ValueError, KeyError or GarbledError if it is invalid, OverflowError if too
--- a/lilacloft/net/resource_limits.py
+++ b/lilacloft/net/resource_limits.py
@@ -19,6 +19,7 @@
     """The maximum in use of each resource."""
 
     unwritten: int  # bytes buffered for clients that do not read
+    requests: int  # bytes of clients' requests that are not finished
     clients: int  # client connections, including those that are closing
     caches: int  # connections to caches, parents and the origin
 
@@ -29,8 +30,10 @@
     connections that are closing still count. Backends get a third; the rest is reserved."""
     sockets = min(int(limits["sockets"]), descriptors)
     free = max(2, sockets - RESERVED)
+    memory = int(limits["memory_mb"] * 1e6)
     return Budgets(
-        unwritten=int(limits["memory_mb"] * 1e6) // 4,
+        unwritten=memory // 4,
+        requests=memory // 4,
         clients=max(1, min(sockets // 2, free * 3 // 5)),
         caches=max(1, min(sockets // 3, free * 2 // 5)),
     )
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -824,7 +824,9 @@
         server.close()
     if when == "long after":
         until(lambda: held)
-        world.wait_until_idle(but=("clients", "checks", "calls", "names", "out", "reqs", "limits"))
+        world.wait_until_idle(
+            but=("clients", "checks", "calls", "names", "request_bytes", "out", "reqs", "limits")
+        )
         broken(held[0])
     told = asker.answer()
     assert told[0] == tag and told[1] == (b"200" if again else b"500")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -250,7 +250,7 @@
         lambda *event, client, due_at=None: posted.append((event[0], client)),
         owner,
         config["vhosts"],
-        DownstreamLimits(9, 1e6),
+        DownstreamLimits(9, 1e6, max_request_bytes=10**9, retry_after=0),
         ListenEndpoint(("127.0.0.1", 0)),
     )
     server_side, client_side = socket.socketpair()
