DiscoveryWatch: a change log that answers late is read, as patience grows with each connection

Cause: `_receive_all` waited for MAX_SILENCE on each new connection and closed it before the answer was there. The time stands for knowledge that it is not: that the connection will not be answered.

Change: each connection in a row without an answer is kept for twice as long as the one before, up to 7 s, by when the log's content counts as known by the protocol. The first frame and another address reset that. Silence on a connection that had answered has the same 2 s as before.

--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -32,6 +32,7 @@
 HEARTBEAT_INTERVAL = 1.0  # maximum seconds between two frames of a live log
 MAX_SILENCE = 2 * HEARTBEAT_INTERVAL  # seconds after which the connection is given up
 MAX_SILENCE_JITTER = 0.1  # fraction of `MAX_SILENCE` by which gateways vary
+MAX_ANSWER_TIME = 7.0  # seconds; by the protocol, what a log has to tell counts as known after this time
 MIN_RATE = 100_000  # bytes per second that a long frame must arrive at
 CONNECT_TIMEOUT = HEARTBEAT_INTERVAL / 2  # seconds
 MIN_BACKOFF = HEARTBEAT_INTERVAL / 32
@@ -87,6 +88,7 @@
         self.attempted_target: WatchTarget | None = None  # the target of the last connection attempt
         self.last, self.on_event, self.gateway, self.on_change = last, on_event, gateway, on_change
         self.connects = self.events = 0  # connections established, events passed on
+        self.unanswered = 0  # connections in a row on which nothing was received
         self.status = WatchStatus(time.monotonic_ns() // NS_PER_TICK, current=False)
         self.address_changed = threading.Event()
         self.gate = threading.Lock()  # held while something is passed on; acquired by others to pause that
@@ -137,6 +139,8 @@
         """Follow the log on one connection until it ends with an error."""
         target, is_first_attempt = self.target, self.target != self.attempted_target
         self.attempted_target = target
+        if is_first_attempt:
+            self.unanswered = 0
         with self._connect(target) as sock:
             self.sock = sock
             if self.address_changed.is_set():  # meanwhile: `target` may be the old address
@@ -154,7 +158,8 @@
         """Read frames until an error. On a reconnection, a read barrier shows at once whether the log
         answers, as a purge may be waiting in it. After new events, the log is queried for its end, as more
         events may be waiting behind them."""
-        sock, deadline, last_queried = connected, self._silence_deadline(), self.last
+        sock, deadline, last_queried = connected, self._answer_deadline(), self.last
+        self.unanswered += 1
         queries_left = MAX_END_QUERIES if self.on_change else 0
         if self.on_change and not is_first_attempt:
             sock = answering_connection(connected, target.address, self.last, deadline)
@@ -164,6 +169,7 @@
                 if self.address_changed.is_set():  # `move` may have shut down another connection
                     return
                 self._receive(sock, target, deadline)
+                self.unanswered = 0
                 if queries_left and self.last > last_queried and self._end_is_unknown(sock):
                     queries_left, last_queried = queries_left - 1, self.last
                     sock = query_end(sock, target.address, last_queried)
@@ -191,9 +197,15 @@
         if self.on_change:
             self.on_change(change, target)
 
-    def _silence_deadline(self) -> float:
-        """Return when a silent connection is given up, in monotonic seconds."""
-        return time.monotonic() + MAX_SILENCE * (1 + MAX_SILENCE_JITTER * self._jitter())
+    def _answer_deadline(self) -> float:
+        """Return when a connection without any frame is given up, in monotonic seconds. A slow log may take
+        longer than the last connection was kept, so each is kept for twice as long as the one before."""
+        return self._silence_deadline(min(MAX_SILENCE * 2**self.unanswered, MAX_ANSWER_TIME))
+
+    def _silence_deadline(self, max_silence: float | None = None) -> float:
+        """Return when a connection that stays silent is given up, in monotonic seconds."""
+        max_silence = max_silence or MAX_SILENCE
+        return time.monotonic() + max_silence * (1 + MAX_SILENCE_JITTER * self._jitter())
 
     def _receive(self, sock: socket.socket, target: WatchTarget, deadline: float) -> None:
         """Read one frame, which must arrive by a deadline, and pass its event on if it is new."""
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from lilacloft.net import discovery_watch
 from lilacloft.net.discovery_watch import WatchChange
 from lilacloft.net.resp import encode, parse_fields
 from lilacloft.routing.catch_up import CatchUp
@@ -349,6 +350,44 @@
     assert_only_purged_copies_are_limited(asker, copies)
 
 
+class AnswersLate(Log):
+    """A slow log: nothing arrives on a connection until some time after it was made."""
+
+    delay = 1.0  # seconds
+
+    def _serve(self, sock):
+        time.sleep(self.delay)
+        super()._serve(sock)
+
+
+@pytest.mark.parametrize("max_silence", [0.6, 0.2])
+def test_a_log_that_answers_later_than_a_silent_connection_is_kept_is_read(
+    in_process, monkeypatch, max_silence
+):
+    """Guards against a log that is asked anew before it can answer: nothing of it was ever read, and so ages
+    would stay limited."""
+    monkeypatch.setattr(discovery_watch, "MAX_SILENCE", max_silence)
+    copies = AgedCopies()
+    world = in_process(copies)
+    world.log.__class__ = AnswersLate
+    world.log.frames.append(purge())
+    world.log.break_off()
+    until(lambda: world.owner.discovery_watch.status.current and world.owner.discovery_watch.last == 2)
+    world.run_on_owner(lambda: None)
+    assert_only_purged_copies_are_limited(world.asker(), copies)
+    assert world.owner.discovery_watch.unanswered == 0
+
+
+def test_a_connection_without_an_answer_is_kept_for_a_bounded_time():
+    """A connection may be lost without a trace, and another one answered."""
+    watch = discovery_watch.DiscoveryWatch(("127.0.0.1", 1), 0, lambda *_: None)
+    kept = []
+    for watch.unanswered in range(6):
+        kept.append(watch._answer_deadline() - time.monotonic())
+    assert 2 - 0.01 <= kept[0] <= 2.2 and 4 - 0.01 <= kept[1] <= 4.4
+    assert all(7 - 0.01 <= span <= 7.7 for span in kept[2:])
+
+
 # --- the router's age limits ---
 
 
