Answers that backends send and the event loop has not handled have a budget of memory

A cache that sends answers that nobody asked for, at full speed, filled the event loop's queue: two of them took a gateway to 155 MB within 6 s, and to 116 MB where all answers bore one name.

Cause: `Upstream.read_answer` posted each answer that it could parse; nothing made readers wait for the event loop.

Change: `ReplyBacklog` counts what was read and not handled; readers of backends wait while it is over an eighth of `memory_mb`. Nobody waits where the loop keeps up.

The test with a blocked event loop failed before, with 95 MB queued where 24 MB and one read a connection are allowed.

--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -102,7 +102,7 @@
             self.dispatcher.attempt_cancelled,
             self.loop.post_reply,
         )
-        self.upstream = Upstream(callbacks, self.settings, self.budgets.caches)
+        self.upstream = Upstream(callbacks, self.settings, self.budgets.caches, self.budgets.replies)
         self.upstream.write_soon = self.write_soon
         self.invariants = self.upstream.invariants = Invariants(self.settings, self.reporter.report_violation)
         longest = int(MAX_MAINTENANCE_INTERVAL * TICKS_PER_SECOND)
--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -11,7 +11,7 @@
 
 from lilacloft.net.client_request import ClientRequest
 from lilacloft.net.close_reasons import CloseReason
-from lilacloft.net.connection import Connection
+from lilacloft.net.connection import CLOSE_CHECK_INTERVAL, Connection
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.net.polling import poll_events
@@ -26,7 +26,6 @@
 PREDECESSOR_DETECTION_DELAY: Ticks = 10_000  # maximum delay in detecting the end of the previous process
 MAX_ACCEPT_DELAY: Ticks = 500  # a longer one affects requests' arrival times; the kernel counts in jiffies
 POLL_INTERVAL = 0.02  # seconds
-CLOSE_CHECK_INTERVAL = 1.0  # seconds; short intervals of many waiting readers would take up the processor
 MAX_UNHANDLED_BYTES = 200_000  # of requests that a reader passes on before the event loop has handled them
 
 
--- a/lilacloft/net/connection.py
+++ b/lilacloft/net/connection.py
@@ -36,6 +36,7 @@
 DRAIN_TIME = 0.5  # seconds for which input after our close is discarded, so that no reset is sent
 DRAIN_BYTES = 1 << 20  # the most input discarded after our close
 DRAIN_READ_SIZE = 1 << 16  # bytes
+CLOSE_CHECK_INTERVAL = 1.0  # seconds; short intervals of many waiting readers would take up the processor
 READER_WAKEUP_TIME = 3.0  # seconds within which a reader processes what the kernel delivered to it
 
 
--- a/lilacloft/net/resource_limits.py
+++ b/lilacloft/net/resource_limits.py
@@ -20,6 +20,7 @@
 
     unwritten: int  # bytes buffered for clients that do not read
     requests: int  # bytes of clients' requests that are not finished
+    replies: int  # bytes of backends' answers that the event loop has not handled
     clients: int  # client connections, including those that are closing
     caches: int  # connections to caches, parents and the origin
 
@@ -34,6 +35,7 @@
     return Budgets(
         unwritten=memory // 4,
         requests=memory // 4,
+        replies=memory // 8,
         clients=max(1, min(sockets // 2, free * 3 // 5)),
         caches=max(1, min(sockets // 3, free * 2 // 5)),
     )
--- a/lilacloft/net/upstream.py
+++ b/lilacloft/net/upstream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from lilacloft.net.connection import Connection
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.polling import any_readable
+from lilacloft.net.reply_backlog import ReplyBacklog
 from lilacloft.net.resp import encode
 from lilacloft.net.upstream_answers import ANSWER_STATUS, HEALTH_STATUS, Reply, parse_reply
 from lilacloft.net.upstream_pool import UpstreamConnection, UpstreamPool
@@ -52,7 +54,15 @@
 class Upstream:
     """The connection pools of all backends."""
 
-    def __init__(self, callbacks: UpstreamCallbacks, config: dict[str, Any], max_connections: int) -> None:
+    def __init__(
+        self,
+        callbacks: UpstreamCallbacks,
+        config: dict[str, Any],
+        max_connections: int,
+        max_reply_bytes: int = sys.maxsize,
+    ) -> None:
+        """`max_connections`: of all pools together; `max_reply_bytes`: of answers that were read and that the
+        event loop has not handled."""
         limits = config["limits"]
         self.post, self.now = callbacks.post, callbacks.now
         self.post_reply = callbacks.post_reply or callbacks.post
@@ -63,7 +73,8 @@
         self.connect_timeout: Ticks = limits["connect_timeout"]
         keepalive = limits["keepalive"]
         self.idle_timeout = max(keepalive - self.connect_timeout, keepalive // 2)  # below that of backends
-        self.max_connections = max_connections  # of all pools together
+        self.max_connections = max_connections
+        self.reply_backlog = ReplyBacklog(max_reply_bytes)
         self.load_names = config["stats"]["names"]
         self.may_check = bool(limits["probes"])  # are health checks allowed?
         self.invariants = Invariants(config)
@@ -242,6 +253,7 @@
         """Parse one answer and pass it to the event loop. Raises GarbledError."""
         reply = parse_reply(items, self.load_names)
         connection.mark_passed_on()  # before posting: the event loop may check at once
+        self.reply_backlog.add(reply.body)
         self.post_reply(self.answered, connection, items[0], items[1], reply)
 
     def connection_closed(self, connection: UpstreamConnection) -> None:
@@ -252,6 +264,7 @@
 
     def answered(self, connection: UpstreamConnection, name: bytes, word: bytes, reply: Reply) -> None:
         """Find the attempt or health check that an answer belongs to, and report its end."""
+        self.reply_backlog.remove(reply.body)
         has_answered, connection.last_read_at = connection.last_read_at > 0, self.now()
         attempt = connection.in_flight.get(name)
         if attempt is None:
--- a/lilacloft/net/upstream_pool.py
+++ b/lilacloft/net/upstream_pool.py
@@ -9,7 +9,8 @@
 
 from lilacloft.net.attempt import Attempt
 from lilacloft.net.close_reasons import CloseReason
-from lilacloft.net.connection import Connection, ConnectTarget
+from lilacloft.net.connection import CLOSE_CHECK_INTERVAL, Connection, ConnectTarget
+from lilacloft.net.reply_backlog import ReplyBacklog
 from lilacloft.routing.link_delay import LinkDelay
 from lilacloft.routing.model import Backend
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
@@ -24,6 +25,7 @@
     attempts_per_connection: int
     connect_timeout: Ticks
     counts: dict[str, int]
+    reply_backlog: ReplyBacklog
 
     def connections_per_pool(self) -> int:
         """Return how many connections one pool may have."""
@@ -56,6 +58,12 @@
         self.created_at: Ticks = 0
         self.retiring = False  # accepts no new attempts
 
+    def apply_backpressure(self) -> None:
+        """Stop reading while too many answers wait for the event loop."""
+        backlog = self.pool.upstream.reply_backlog
+        while self.close_reason is None and not backlog.wait_for_room(CLOSE_CHECK_INTERVAL):
+            pass
+
     def write_soon(self) -> None:
         """Schedule `resume_writing` in the event loop's thread."""
         self.pool.upstream.post(self.pool.upstream.write_soon, self)
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -4,6 +4,7 @@
 order of events matters the event loop is blocked, so that nothing that readers pass on is handled.
 """
 
+import contextlib
 import random
 import threading
 import time
@@ -12,7 +13,8 @@
 import pytest
 
 from lilacloft.net.client_connection import MAX_UNHANDLED_BYTES
-from lilacloft.net.resp import MAX_WRITE_SIZE, encode, encode_fields
+from lilacloft.net.resp import MAX_PART_SIZE, MAX_WRITE_SIZE, encode, encode_fields
+from lilacloft.net.upstream_answers import Reply
 from lilacloft.routing.request_memory import may_occupy, memory_of_request
 from rigs.inprocess import until
 from rigs.stands import StandInClient, serves, silent
@@ -199,6 +201,61 @@
     assert asker.answer()[:2] == [tag, b"200"]
 
 
+# --- answers ---
+
+
+class FloodsAnswers:
+    """A cache that sends many answers at once that nobody has asked for."""
+
+    def __init__(self, count):
+        self.count, self.sent = count, threading.Event()
+
+    def __call__(self, stand, sock, items):
+        if items[0] == b"do":
+            threading.Thread(target=self._flood, args=(sock,), daemon=True).start()
+        else:
+            silent(stand, sock, items)
+
+    def _flood(self, sock):
+        with contextlib.suppress(OSError):
+            for number in range(self.count):
+                sock.sendall(encode(b"%016x" % number, b"data", b"remark=TCP_HIT", bytes(MAX_PART_SIZE)))
+        self.sent.set()
+
+
+def queued_bodies(loop):
+    """Bytes of the answers in an event loop's queue, which is emptied."""
+    size = 0
+    while loop.queue.qsize():
+        event = loop.queue.get_nowait()
+        size += sum(len(argument.body) for argument in event.arguments if isinstance(argument, Reply))
+    return size
+
+
+def test_answers_that_the_event_loop_does_not_handle_stay_within_their_budget(in_process):
+    """Guards against a cache that sends more than it was asked for, as its answers pile up in the queue."""
+    floods = FloodsAnswers(count=400)
+    world = in_process(floods)
+    world.asker().ask()
+    until(lambda: world.held()["out"])
+    go = world.stall()
+    floods.sent.wait(1.0)  # enough for all 96 MB, without a bound
+    assert queued_bodies(world.owner.loop) < world.owner.budgets.replies + 8 * MAX_PART_SIZE < 30 * MB
+    go.set()
+
+
+def test_a_reader_goes_on_once_the_event_loop_has_handled_its_answers(in_process):
+    """Guards against readers that wait for ever: all that a cache sent too much is read in the end."""
+    floods = FloodsAnswers(count=400)
+    world = in_process(floods)
+    go, asker = world.stall(), world.asker()
+    asker.ask()
+    go.set()
+    assert floods.sent.wait(5)
+    until(lambda: world.owner.upstream.counts["unknown"] == 400)
+    assert world.owner.upstream.reply_backlog.size == 0
+
+
 # --- who may occupy how much ---
 
 
