--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -9,10 +9,12 @@
 import threading
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
 from lilacloft.net.client_connection import MAX_UNHANDLED_BYTES
+from lilacloft.net.request_ledger import RequestLedger
 from lilacloft.net.resp import MAX_PART_SIZE, MAX_WRITE_SIZE, encode, encode_fields
 from lilacloft.net.upstream_answers import Reply
 from lilacloft.routing.request_memory import may_occupy, memory_of_request
@@ -201,6 +203,22 @@
     assert asker.answer()[:2] == [tag, b"200"]
 
 
+def test_requests_of_a_previous_process_count_whatever_the_budget_is():
+    """Guards against a receiver of a handover that accepts as if it held nothing."""
+    ledger = RequestLedger(budget=memory_of_request(1000))
+    client = SimpleNamespace(reserved_bytes=0)
+    restored, new = (
+        SimpleNamespace(body=bytes(1000), client=client, reserved_bytes=0),
+        SimpleNamespace(body=b"", client=client, reserved_bytes=0),
+    )
+    ledger.reserve_restored(restored)
+    assert ledger.reserved == memory_of_request(1000) and not ledger.reserve(new)
+    for _ in range(2):  # releasing twice frees it once
+        ledger.release(restored)
+        assert ledger.reserved == client.reserved_bytes == 0
+    assert ledger.reserve(new)
+
+
 # --- answers ---
 
 
