ClientConnection: one wait for the event loop in place of two

_report_end_of_input and _wait_until_handled posted a marker and waited for it each. The first now also stops waiting once its connection is closed, as its caller does nothing more then.

--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -158,10 +158,7 @@
         A reader that only rejects requests waits as well: many that read without a pause would leave the
         event loop's thread no time."""
         self.paused_reading_at = self.paused_reading_at or time.monotonic_ns() // NS_PER_TICK
-        handled = threading.Event()
-        self.downstream.post(handled.set, client=self)
-        while self.close_reason is None and not handled.wait(CLOSE_CHECK_INTERVAL):
-            pass
+        self._wait_for_event_loop()
         self.unhandled_bytes = 0
         if not self._has_more_input():
             self.paused_reading_at = 0
@@ -200,14 +197,19 @@
 
     def _report_end_of_input(self, reason: CloseReason) -> None:
         """Report why reading ended, and wait until the event loop has handled all requests that were read."""
-        handled = threading.Event()
         events = self.downstream.gateway.requests
         if reason is CloseReason.GARBLED:
             self.downstream.post(events.client_sent_malformed, self, client=self)
         else:
             self.downstream.post(events.client_half_closed, self, self.input_ended, client=self)
+        self._wait_for_event_loop()
+
+    def _wait_for_event_loop(self) -> None:
+        """Wait until the event loop has handled all events of this client, or the connection is closed."""
+        handled = threading.Event()
         self.downstream.post(handled.set, client=self)
-        handled.wait()
+        while self.close_reason is None and not handled.wait(CLOSE_CHECK_INTERVAL):
+            pass
 
     def _finish(self, reason: CloseReason, how: int = socket.SHUT_RDWR) -> None:
         """Report a close by this gateway while requests are open."""
