Gateway: the routing settings are read once; DiscoveryWatch: a silence has no default

The router is made before the downstream side, whose rejections state the router's Retry-After, in place of reading the settings a second time at each start.

--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -38,7 +38,6 @@
 from lilacloft.routing.host import Dispatch, HealthChange, Timer
 from lilacloft.routing.model import Backend, Request
 from lilacloft.routing.router import Router
-from lilacloft.routing.settings import RoutingSettings
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
 HEARTBEAT_INTERVAL: Ticks = 500  # the event loop wakes at least this often, so that pauses are detected
@@ -71,6 +70,8 @@
         self.dispatcher = AttemptDispatcher(self, self.answers)
         self._connect_backends()
         self.requests = ClientRequests(self, self.lifecycle, self.answers, self.dispatcher)
+        self.clock.update()
+        self.router = Router(self, self.settings)
         self.downstream = Downstream(
             self.loop.post,
             self,
@@ -79,14 +80,12 @@
                 self.budgets.clients,
                 configuration.max_transfer_size,
                 self.budgets.requests,
-                RoutingSettings.from_mapping(self.settings).retry_after,
+                self.router.settings.retry_after,
             ),
             ListenEndpoint(parse_address(configuration.listen), sock),
         )
         self.discovery = Discovery(self)
         self._bind_interface()
-        self.clock.update()
-        self.router = Router(self, self.settings)
         self.loop.report_lag = self.router.loop_lagged
         self.loop.has_unread_answers = self.upstream.has_unread_answers
         self.loop.is_obsolete = self.dispatcher.is_obsolete
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -173,7 +173,7 @@
                 if queries_left and self.last > last_queried and self._end_is_unknown(sock):
                     queries_left, last_queried = queries_left - 1, self.last
                     sock = query_end(sock, target.address, last_queried)
-                deadline = self._silence_deadline()
+                deadline = self._silence_deadline(MAX_SILENCE)
         finally:
             sock.close()
 
@@ -202,9 +202,9 @@
         longer than the last connection was kept, so each is kept for twice as long as the one before."""
         return self._silence_deadline(min(MAX_SILENCE * 2**self.unanswered, MAX_ANSWER_TIME))
 
-    def _silence_deadline(self, max_silence: float | None = None) -> float:
-        """Return when a connection that stays silent is given up, in monotonic seconds."""
-        max_silence = max_silence or MAX_SILENCE
+    def _silence_deadline(self, max_silence: float) -> float:
+        """Return when a connection that stays silent for `max_silence` seconds and the jitter is given up, in
+        monotonic seconds."""
         return time.monotonic() + max_silence * (1 + MAX_SILENCE_JITTER * self._jitter())
 
     def _receive(self, sock: socket.socket, target: WatchTarget, deadline: float) -> None:
