--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -87,6 +87,14 @@
     return answers
 
 
+def assert_filled_anew(asker, seconds):
+    """Check for some time that no copy from before the purge is served."""
+    until_then = time.monotonic() + seconds
+    while time.monotonic() < until_then:
+        assert fetch(asker) == NEW
+        time.sleep(0.05)
+
+
 def assert_only_purged_copies_are_limited(asker, copies):
     """Check that only the purge limits ages, once the change log was read to its end."""
     assert fetch(asker) == NEW
@@ -194,10 +202,8 @@
     """Guards against a limit that time lifts: waiting makes no purge known."""
     copies = AgedCopies()
     world = withheld_log(copies)
-    asker, until_then = world.asker(), time.monotonic() + STOPPED
-    while time.monotonic() < until_then:
-        assert fetch(asker) == NEW
-        time.sleep(0.05)
+    asker = world.asker()
+    assert_filled_anew(asker, STOPPED)
     assert not world.owner.router.freshness.purges, "nothing was read"
     world.log.released.set()
     until(lambda: world.owner.discovery_watch.status.current)
@@ -216,11 +222,8 @@
     world.log.hold()
     assert world.log.since.get(timeout=5) == 1, "reconnects after too long a silence"
     world.run_on_owner(lambda: None)
-    until_then = time.monotonic() + STOPPED
     world.log.frames.append(purge(ago=0))
-    while time.monotonic() < until_then:
-        assert fetch(asker) == NEW
-        time.sleep(0.05)
+    assert_filled_anew(asker, STOPPED)
     assert world.owner.discovery_watch.last == 1 and world.owner.discovery_watch.connects > 1
     assert fetch_while_held(world, world.log) == {NEW}
     assert_only_purged_copies_are_limited(asker, copies)
@@ -245,10 +248,7 @@
         world.log.break_off()
         assert timed_out.wait(5)
         until(lambda: world.owner.router.freshness.catch_up.unread_since is not None)
-        until_then = time.monotonic() + HELD
-        while time.monotonic() < until_then:
-            assert fetch(asker) == NEW
-            time.sleep(0.05)
+        assert_filled_anew(asker, HELD)
     until(lambda: world.owner.discovery_watch.last == 2)
     world.run_on_owner(lambda: None)
     assert_only_purged_copies_are_limited(asker, copies)
--- a/tests/test_read_barrier.py
+++ b/tests/test_read_barrier.py
@@ -30,6 +30,7 @@
     OLD,
     STOPPED,
     AgedCopies,
+    assert_filled_anew,
     fetch,
     fetch_while_held,
     purge,
@@ -390,9 +391,6 @@
     world.log.hold()
     world.log.__class__ = OnlyRepeats
     reconnect(world, purge())
-    until_then = time.monotonic() + STOPPED
-    while time.monotonic() < until_then:
-        assert fetch(asker) == NEW
-        time.sleep(0.05)
+    assert_filled_anew(asker, STOPPED)
     assert world.owner.discovery_watch.connects > 1
     assert fetch_while_held(world, world.log) == {NEW}
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -86,7 +86,7 @@
     """Guards against bodies that pile up between readers and event loop, or wait for backends, unbounded."""
     limit = 64
     gateway = world(says, says, memory_mb=limit)
-    bad, peak, done = None, [0], threading.Event()
+    peak, done = [0], threading.Event()
 
     def watch():
         while not done.wait(0.01):
