--- a/rigs/pressure.py
+++ b/rigs/pressure.py
@@ -1,8 +1,8 @@
-"""Plays in which clients take up a gateway's memory and time, beside usual clients whose answers are measured.
+"""Plays in which clients take up a gateway's memory and time, beside usual clients that are measured.
 
-`python -m rigs.pressure PLAY... [--memory 32] [--sockets 1024] [--json]`. The gateway is a process started by the
-`run` line of the deploy file; the usual clients are a process of their own, so that busy bad clients do not delay
-their clocks. Nothing kills the gateway at its limit: the play tells its peak of anonymous memory beside the limit.
+`python -m rigs.pressure PLAY... [--memory 32] [--sockets 1024] [--json]`. The gateway is a process started by
+the `run` line of the deploy file; the usual clients are a process of their own, so that busy bad clients do
+not delay their clocks. Nothing kills the gateway at its limit: a play reports its peak of anonymous memory.
 """
 
 from __future__ import annotations
@@ -51,7 +51,13 @@
 
 
 def request_message(
-    tag: int, name: int, vhost: bytes = b"clip", body: bytes = b"", allow: int = 2_500, key: int = 1, **more: Any
+    tag: int,
+    name: int,
+    vhost: bytes = b"clip",
+    body: bytes = b"",
+    allow: int = 2_500,
+    key: int = 1,
+    **more: Any,
 ) -> bytes:
     """Return the bytes of one request."""
     fields = {
@@ -179,7 +185,9 @@
     for one in (client.answers for client in clients):
         for name, value in asdict(one).items():
             is_most = name in ("slowest_ms", "lags_ms")
-            setattr(total, name, max(getattr(total, name), value) if is_most else getattr(total, name) + value)
+            setattr(
+                total, name, max(getattr(total, name), value) if is_most else getattr(total, name) + value
+            )
     print(json.dumps(asdict(total)))
 
 
@@ -464,7 +472,15 @@
     memory, pid = Memory(world.process.pid), world.process.pid
     result = Result("+".join(names), memory_mb, first_mb=_mb(memory.first))
     usual = subprocess.Popen(
-        [sys.executable, "-m", "rigs.pressure", "--usual", str(world.port), "--seconds", str(8.0 * len(names) + 2)],
+        [
+            sys.executable,
+            "-m",
+            "rigs.pressure",
+            "--usual",
+            str(world.port),
+            "--seconds",
+            str(8.0 * len(names) + 2),
+        ],
         cwd=ROOT,
         stdout=subprocess.PIPE,
         text=True,
@@ -505,8 +521,8 @@
             print(json.dumps(asdict(result)), flush=True)
             continue
         print(
-            f"{name}: {result.first_mb} -> {result.peak_mb} MB of {result.memory_mb}, {result.after_mb} after,"
-            f" cpu {result.cpu_seconds}; {result.usual}",
+            f"{name}: {result.first_mb} -> {result.peak_mb} MB of {result.memory_mb},"
+            f" {result.after_mb} after, cpu {result.cpu_seconds}; {result.usual}",
             flush=True,
         )
         if options.log:
