A process that serves no longer loads asyncio, ssl and multiprocessing for its log

What callers saw: at 32 MB a process has 16.0 MB of anonymous pages before its first client, half of its limit. Cause: loguru imports asyncio, which imports ssl, and multiprocessing; 194 modules and 13.2 MB for an import of loguru alone, 4.7 MB for the bare interpreter (RssAnon, Python 3.11, arm64). Change: lilacloft/log.py logs text through the standard library's logging; loguru writes JSON records, and is imported for them alone. Lines, fields and the forms of both are as before.

--- a/lilacloft/__main__.py
+++ b/lilacloft/__main__.py
@@ -14,9 +14,9 @@
     if arguments[:1] == ["serve"] and (
         len(arguments) == 1 or (len(arguments) == 3 and arguments[1] == "--config")
     ):
-        from lilacloft import errors, serving
+        from lilacloft import errors, log, serving
 
-        serving.configure_logging()
+        log.configure()
         try:
             return serving.serve(arguments[2] if len(arguments) == 3 else os.environ.get("EDGE_CONFIG"))
         except errors.UnusableError as error:
--- a/lilacloft/cli/__init__.py
+++ b/lilacloft/cli/__init__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from lilacloft import errors, serving
+from lilacloft import errors, log
 from lilacloft.cli import experiment, gateway, load, plan, records, store, upgrade
 
 
@@ -15,7 +15,7 @@
 @click.option("--log-format", type=click.Choice(["text", "json"]), default="text", help="format of log lines")
 def commands(log_format: str) -> None:
     """A gateway that decides where objects are served from."""
-    serving.configure_logging(log_format)
+    log.configure(log_format)
 
 
 for group in (gateway, upgrade, records, store, experiment, load, plan):
--- a/lilacloft/cli/gateway.py
+++ b/lilacloft/cli/gateway.py
@@ -6,7 +6,7 @@
 
 import click
 
-from lilacloft import __version__, errors, serving
+from lilacloft import __version__, errors, log, serving
 
 config = click.option(
     "--config",
@@ -51,7 +51,7 @@
         loaded = reader.load(settings)
         upgrade = loaded.get("upgrade", {})
         if "log" in loaded:
-            serving.configure_logging(loaded["log"].get("format", "text"))
+            log.configure(loaded["log"].get("format", "text"))
         record, store, plan = (loaded.get(part, {}) for part in ("record", "store", "plan"))
     handover = handover or upgrade.get("handover")
     if supervised:
--- a/lilacloft/cli/upgrade.py
+++ b/lilacloft/cli/upgrade.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import click
-from loguru import logger
+
+from lilacloft.log import logger
 
 
 @click.command()
--- a/lilacloft/control/gateway_agent.py
+++ b/lilacloft/control/gateway_agent.py
@@ -8,8 +8,6 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from loguru import logger
-
 from lilacloft.control import codec
 from lilacloft.control.follower import REPORT_INTERVAL, Follower, FollowerSettings
 from lilacloft.control.gateway_observer import EndedAttempt, GatewayObserver
@@ -17,6 +15,7 @@
 from lilacloft.control.transport import Address, Client, Connection
 from lilacloft.failover.hash_slices import SLICE_COUNT
 from lilacloft.failover.local_failover import LocalFailover
+from lilacloft.log import logger
 from lilacloft.membership.table import FORWARDER
 from lilacloft.routing.host import Endpoint, ListMode
 from lilacloft.routing.units import Ticks
--- a/lilacloft/control/planner_server.py
+++ b/lilacloft/control/planner_server.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from loguru import logger
-
 from lilacloft import settings_validation
 from lilacloft.config.addresses import address
 from lilacloft.control import codec
@@ -26,6 +24,7 @@
 from lilacloft.control.planner import Planner
 from lilacloft.control.transport import Address, Client, Connection, Server
 from lilacloft.failover.recovery_ramp import SlowStartProfile
+from lilacloft.log import logger
 from lilacloft.membership.table import PLANNER
 from lilacloft.net.discovery_events import events_of_config
 from lilacloft.net.discovery_watch import DiscoveryWatch
--- a/lilacloft/control/transport.py
+++ b/lilacloft/control/transport.py
@@ -12,10 +12,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from loguru import logger
-
 from lilacloft.control import codec
 from lilacloft.control.codec import HEAD, WireError
+from lilacloft.log import logger
 from lilacloft.net.exact_reads import read_exactly
 
 MAX_QUEUED_FRAMES = 4  # per connection
--- a/lilacloft/gateway/configuration.py
+++ b/lilacloft/gateway/configuration.py
@@ -9,9 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from loguru import logger
-
 from lilacloft import settings_validation
+from lilacloft.log import logger
 from lilacloft.net.discovery_events import DiscoveryEvent, events_of_config
 from lilacloft.net.resource_limits import Budgets, budgets, descriptor_limit
 from lilacloft.protocol_settings import from_protocol
--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-from loguru import logger
-
 from lilacloft.clock_offset import ClockOffset, WatchContext
 from lilacloft.gateway.clock import TICKS_PER_MILLISECOND
 from lilacloft.gateway.configuration import parse_address
 from lilacloft.gateway.context import GatewayContext
+from lilacloft.log import logger
 from lilacloft.net.discovery_events import DiscoveryEvent, EndpointEntry
 from lilacloft.net.discovery_watch import DiscoveryWatch, WatchChange, WatchStatus, WatchTarget
 from lilacloft.routing.host import Endpoint, ListMode
--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -14,10 +14,9 @@
 from collections.abc import Callable, Hashable
 from typing import Any, NamedTuple
 
-from loguru import logger
-
 from lilacloft.gateway.clock import GatewayClock, monotonic_ticks
 from lilacloft.gateway.counters import Counters
+from lilacloft.log import logger
 from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.routing.fair_queue import URGENT_TIME, FairQueue
 from lilacloft.routing.lag_margin import LagMargin
--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -14,8 +14,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from loguru import logger
-
 from lilacloft.gateway import reload
 from lilacloft.gateway.answers import FinalAnswers
 from lilacloft.gateway.client_requests import ClientRequests
@@ -32,6 +30,7 @@
 from lilacloft.gateway.lifecycle import Lifecycle, Phase
 from lilacloft.gateway.reporting import Reporter
 from lilacloft.invariants import Invariants
+from lilacloft.log import logger
 from lilacloft.net.connection import Connection
 from lilacloft.net.downstream import Downstream, DownstreamLimits, ListenEndpoint
 from lilacloft.net.upstream import Upstream, UpstreamCallbacks
--- a/lilacloft/gateway/lifecycle.py
+++ b/lilacloft/gateway/lifecycle.py
@@ -8,9 +8,8 @@
 
 from enum import Enum, auto
 
-from loguru import logger
-
 from lilacloft.gateway.context import GatewayContext
+from lilacloft.log import logger
 from lilacloft.routing.model import RejectReason
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
--- a/lilacloft/gateway/reload.py
+++ b/lilacloft/gateway/reload.py
@@ -4,11 +4,10 @@
 
 from typing import Any
 
-from loguru import logger
-
 from lilacloft import settings_validation
 from lilacloft.gateway.configuration import parse_address
 from lilacloft.gateway.context import GatewayContext
+from lilacloft.log import logger
 from lilacloft.net.resource_limits import budgets, descriptor_limit
 
 
--- a/lilacloft/gateway/reporting.py
+++ b/lilacloft/gateway/reporting.py
@@ -8,11 +8,10 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import asdict, fields
 
-from loguru import logger
-
 from lilacloft.gateway.clock import monotonic_ticks
 from lilacloft.gateway.context import GatewayContext
 from lilacloft.invariants import Invariant
+from lilacloft.log import logger
 from lilacloft.net.attempt import Attempt
 from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.net.processor_wait import processor_wait
--- a/lilacloft/handover/phase_reporter.py
+++ b/lilacloft/handover/phase_reporter.py
@@ -5,12 +5,11 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from loguru import logger
-
 from lilacloft.handover.channel import Channel, ChannelError
 from lilacloft.handover.framing import FormatError, MessageKind
 from lilacloft.handover.messages import MAX_REASON_CHARACTERS, PhaseReport
 from lilacloft.handover.phases import Phase
+from lilacloft.log import logger
 
 if TYPE_CHECKING:
     from lilacloft.gateway.gateway import Gateway
--- a/lilacloft/handover/process.py
+++ b/lilacloft/handover/process.py
@@ -9,14 +9,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from loguru import logger
-
 from lilacloft.errors import TakeoverAbortedError, UnusableError
 from lilacloft.handover.channel import ChannelError
 from lilacloft.handover.framing import FormatError, to_plain
 from lilacloft.handover.receiver import NO_DESCRIPTOR, HandoverReceiver
 from lilacloft.handover.sender import HandoverSender
 from lilacloft.handover.upgrade_listener import bind_upgrade_socket
+from lilacloft.log import logger
 from lilacloft.net.connection import Connection
 from lilacloft.routing.units import TICKS_PER_SECOND
 
--- a/lilacloft/handover/receiver.py
+++ b/lilacloft/handover/receiver.py
@@ -14,8 +14,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from loguru import logger
-
 from lilacloft import __version__
 from lilacloft.errors import TakeoverAbortedError
 from lilacloft.handover import messages
@@ -24,6 +22,7 @@
 from lilacloft.handover.framing import STATE_VERSION, FormatError, MessageKind
 from lilacloft.handover.phases import ReceiverStateMachine
 from lilacloft.handover.state_restore import GatewayRestorer
+from lilacloft.log import logger
 
 if TYPE_CHECKING:
     from lilacloft.gateway.gateway import Gateway
--- a/lilacloft/handover/sender.py
+++ b/lilacloft/handover/sender.py
@@ -17,8 +17,6 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
-from loguru import logger
-
 from lilacloft.handover import messages, process_arguments
 from lilacloft.handover.channel import Channel, ChannelError, ChannelTimeoutError, Frame
 from lilacloft.handover.counters import GroupedCounts, counted_since
@@ -31,6 +29,7 @@
 from lilacloft.handover.resources import current_usage
 from lilacloft.handover.state_export import export_backends, export_gateway
 from lilacloft.handover.upgrade_listener import UpgradeListener, UpgradeRefusedError
+from lilacloft.log import logger
 from lilacloft.net.connection import Connection
 from lilacloft.routing.model import RejectReason
 from lilacloft.routing.units import TICKS_PER_SECOND
--- a/lilacloft/handover/supervisor.py
+++ b/lilacloft/handover/supervisor.py
@@ -15,10 +15,9 @@
 import sys
 import time
 
-from loguru import logger
-
 from lilacloft.handover import process_arguments
 from lilacloft.handover.watchdog import WorkerWatchdog
+from lilacloft.log import logger
 
 PR_SET_CHILD_SUBREAPER = (
     36  # prctl(2): orphaned processes that workers started become children of the supervisor
--- a/lilacloft/handover/upgrade_listener.py
+++ b/lilacloft/handover/upgrade_listener.py
@@ -13,11 +13,10 @@
 import time
 from collections.abc import Callable
 
-from loguru import logger
-
 from lilacloft.handover.channel import Channel, ChannelError
 from lilacloft.handover.framing import FormatError, MessageKind
 from lilacloft.handover.messages import PhaseReport, UpgradeRequest
+from lilacloft.log import logger
 
 MAX_CONNECTIONS = 4  # at the same time; further connections are closed
 REQUEST_TIMEOUT = 2.0  # seconds within which a client must send its request
--- a/lilacloft/net/connection.py
+++ b/lilacloft/net/connection.py
@@ -15,8 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from loguru import logger
-
+from lilacloft.log import logger
 from lilacloft.net import socket_errors
 from lilacloft.net.close_reasons import CloseReason, close_reason_of
 from lilacloft.net.connection_state import ConnectionState
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -17,8 +17,7 @@
 from enum import Enum, auto
 from typing import NamedTuple, TypeAlias
 
-from loguru import logger
-
+from lilacloft.log import logger
 from lilacloft.net.discovery_events import MAX_EVENT_SIZE, DiscoveryEvent, decode_event
 from lilacloft.net.exact_reads import read_before
 from lilacloft.net.polling import poll_events
--- a/lilacloft/net/downstream.py
+++ b/lilacloft/net/downstream.py
@@ -16,8 +16,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from loguru import logger
-
+from lilacloft.log import logger
 from lilacloft.net import socket_errors
 from lilacloft.net.client_connection import POLL_INTERVAL, STALL_TIMEOUT, ClientConnection, GatewaySide
 from lilacloft.net.client_request import ClientRequest
--- a/lilacloft/net/upstream_pool.py
+++ b/lilacloft/net/upstream_pool.py
@@ -5,8 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from loguru import logger
-
+from lilacloft.log import logger
 from lilacloft.net.attempt import Attempt
 from lilacloft.net.close_reasons import CloseReason
 from lilacloft.net.connection import CLOSE_CHECK_INTERVAL, Connection, ConnectTarget
--- a/lilacloft/net/write_backlog.py
+++ b/lilacloft/net/write_backlog.py
@@ -13,8 +13,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from loguru import logger
-
+from lilacloft.log import logger
 from lilacloft.net import socket_errors
 from lilacloft.net.close_reasons import CloseReason, close_reason_of
 from lilacloft.net.connection_state import ConnectionLifecycle, ConnectionState
--- a/lilacloft/record/live_stream.py
+++ b/lilacloft/record/live_stream.py
@@ -13,7 +13,7 @@
 import threading
 from collections import deque
 
-from loguru import logger
+from lilacloft.log import logger
 
 RECENT_RECORDS = 900  # replayed to a new reader: about ten minutes
 MAX_READERS = 8
--- a/lilacloft/record/record_writer.py
+++ b/lilacloft/record/record_writer.py
@@ -9,9 +9,8 @@
 import time
 from typing import TYPE_CHECKING
 
-from loguru import logger
-
 from lilacloft.gateway.clock import monotonic_ticks
+from lilacloft.log import logger
 from lilacloft.protocol_settings import NS_PER_TICK
 from lilacloft.record import record_types
 from lilacloft.record.file_rotation import RotatingFiles
--- a/lilacloft/record/recorder.py
+++ b/lilacloft/record/recorder.py
@@ -11,11 +11,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from loguru import logger
-
 from lilacloft import __version__
 from lilacloft.gateway.clock import TICKS_PER_MILLISECOND
 from lilacloft.gateway.discovery import PURGE
+from lilacloft.log import logger
 from lilacloft.net.close_reasons import OUTCOMES, CloseReason
 from lilacloft.protocol_settings import NS_PER_TICK
 from lilacloft.record import record_types
--- a/lilacloft/serving.py
+++ b/lilacloft/serving.py
@@ -5,14 +5,12 @@
 import json
 import queue
 import signal
-import sys
 import threading
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from loguru import logger
-
 from lilacloft.errors import TAKEOVER_ABORTED, TakeoverAbortedError, UnusableError
+from lilacloft.log import logger
 from lilacloft.net import socket_errors
 from lilacloft.protocol_settings import NAMES
 
@@ -21,18 +19,10 @@
 
     from lilacloft.gateway.gateway import Gateway
 
-LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
 THREAD_STACK_BYTES = 256 * 1024
 FAILED = 1  # exit code after an internal error
 
 
-def configure_logging(form: str = "text") -> None:
-    """Log to standard error as text, or with `form` "json" as one JSON object per line, whose `record.extra`
-    has the named fields."""
-    logger.remove()
-    logger.add(sys.stderr, format=LOG_FORMAT, diagnose=False, serialize=form == "json")
-
-
 def read_config(path: str | None) -> dict[str, Any]:
     """Return the JSON object in the configuration file. Raises UnusableError if it cannot be read."""
     if not path:
--- a/lilacloft/store/gateway_store.py
+++ b/lilacloft/store/gateway_store.py
@@ -13,8 +13,7 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple, TypeAlias
 
-from loguru import logger
-
+from lilacloft.log import logger
 from lilacloft.net.attempt import Attempt
 from lilacloft.net.close_reasons import OUTCOMES, CloseReason
 from lilacloft.routing.model import Backend, Idempotency, IdempotencyScope, Outcome, Request
--- a/lilacloft/store/group_commit.py
+++ b/lilacloft/store/group_commit.py
@@ -11,8 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from loguru import logger
-
+from lilacloft.log import logger
 from lilacloft.routing.units import Ticks
 from lilacloft.store.errors import StoreError
 from lilacloft.store.framing import Record
--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -17,9 +17,8 @@
 import time
 import zlib
 
-from loguru import logger
-
 from lilacloft.handover.request import request_upgrade
+from lilacloft.log import logger
 from lilacloft.net.resp import MessageBuffer, encode, encode_fields
 from rigs.named_numbers import NamedNumbers
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,11 +10,11 @@
 import types
 
 import pytest
-from loguru import logger
 
 from lilacloft.__main__ import main
 from lilacloft.gateway.answers import AnswerKind
 from lilacloft.gateway.gateway import Gateway
+from lilacloft.log import logger
 from lilacloft.net.attempt import Attempt
 from lilacloft.net.client_connection import ClientConnection
 from lilacloft.net.close_reasons import CloseReason
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -1,7 +1,6 @@
 """The run-time invariant checks of a gateway: each violation is found, and valid histories pass."""
 
 import pytest
-from loguru import logger
 
 from lilacloft.invariants import (
     FirstByte,
@@ -11,6 +10,7 @@
     RequestHistory,
     allowed_excess,
 )
+from lilacloft.log import logger
 from lilacloft.protocol_settings import from_protocol
 from lilacloft.routing.model import Backend
 from rigs.inprocess import until
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -90,6 +90,7 @@
         "lilacloft.errors",
         "lilacloft.gateway",
         "lilacloft.invariants",
+        "lilacloft.log",
         "lilacloft.net",
         "lilacloft.routing",
         "lilacloft.serving",
