Memory for a large body is reserved before it is read; without it the body is dropped

What callers saw: 340 clients that sent 47,000 bytes of a write of 48,000 and stopped took a process of 32 MB to 44 MB; 340 that wrote 48,000 bytes over 2.5 s, again and again, to 64 MB. Cause: the ledger of requests counted a request once it had been read whole. Until then its bytes lay in the read buffer, which grew by doubling (65 to 128 KB for a body of 48 KB), in no account. Change: the parser stops at an element above 2 KB until its reader has decided. A client's reader reserves the memory of the request; where there is none the bytes are dropped as they come and the request is rejected once it is whole, so every client has its one answer and nobody waits for room. An admitted body is read into memory of its size, once, without copies. A client's idle buffer is 480 bytes in place of 4,096, a backend's 4 KB in place of 32. In a handover a dropped message is passed on as an invalid one of its tag, which the new process rejects; the form of the state is as before.

--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -15,7 +15,8 @@
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.net.polling import poll_events
-from lilacloft.net.resp import CLIENT_MESSAGE_SIZES, MAX_PART_SIZE, SMALL_BUFFER, MessageBuffer
+from lilacloft.net.request_ledger import RequestLedger
+from lilacloft.net.resp import CLIENT_MESSAGE_SIZES, IDLE_CLIENT_BUFFER, MAX_PART_SIZE, MessageBuffer
 from lilacloft.net.tcp_info import since_last_data, since_opened
 from lilacloft.protocol_settings import NS_PER_TICK
 from lilacloft.routing.lag_margin import LagMargin
@@ -72,6 +73,7 @@
     post: Callable[..., None]  # queues a call for the event loop's thread
     gateway: GatewaySide
     counts: dict[str, int]
+    request_ledger: RequestLedger
     requests_by_name: dict[str, ClientRequest]
     unclosed: dict[ClientConnection, None]
 
@@ -99,7 +101,7 @@
             downstream.handle_message,
             downstream.connection_closed,
             sock,
-            buffer=MessageBuffer(CLIENT_MESSAGE_SIZES, SMALL_BUFFER),
+            buffer=MessageBuffer(CLIENT_MESSAGE_SIZES, IDLE_CLIENT_BUFFER, admits_all=False),
         )
         self.downstream = downstream
         self.message_count = self.useless_message_count = (
@@ -108,6 +110,7 @@
         self.taken = self.settled = 0  # requests accepted by the reader, and settled by the event loop
         self.open: dict[bytes, ClientRequest] = {}  # by tag: the reader adds, the event loop removes
         self.reserved_bytes = 0  # of its requests, in the `RequestLedger`
+        self.body_reservation = 0  # of these, the bytes of a request whose body is being read
         # of the requests read since the event loop was last known to have handled all of them
         self.unhandled_bytes = 0
         self.used = time.monotonic()  # when a message was last received or an answer sent
@@ -136,6 +139,20 @@
         """Record for how long an answer waited to be written."""
         self.downstream.gateway.lags.writes.record(int(seconds * TICKS_PER_SECOND))
 
+    def decide_large_element(self) -> None:
+        """Admit a large body if memory can be reserved for its request; else its bytes are dropped as they
+        come, and the request is rejected once it is whole."""
+        self.body_reservation = self.downstream.request_ledger.reserve_body(self, self.buffer.wanted)
+        if self.body_reservation:
+            self.buffer.admit()
+        else:
+            self.buffer.discard()
+
+    def take_body_reservation(self) -> int:
+        """Return what was reserved for the body that was read last, which its caller takes over."""
+        size, self.body_reservation = self.body_reservation, 0
+        return size
+
     def apply_backpressure(self) -> None:
         """Stop reading while the client does not read, and while too much waits for the event loop."""
         self._wait_until_client_reads()
--- a/lilacloft/net/connection.py
+++ b/lilacloft/net/connection.py
@@ -21,8 +21,8 @@
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.polling import poll_events
 from lilacloft.net.resp import (
-    BACKEND_BUFFER,
     BACKEND_MESSAGE_SIZES,
+    DISCARDED_INPUT,
     MAX_PART_SIZE,
     GarbledError,
     MessageBuffer,
@@ -34,7 +34,6 @@
 SOCKET_OPTION_ATTEMPTS = 3
 DRAIN_TIME = 0.5  # seconds for which input after our close is discarded, so that no reset is sent
 DRAIN_BYTES = 1 << 20  # the most input discarded after our close
-DRAIN_READ_SIZE = 1 << 16  # bytes
 CLOSE_CHECK_INTERVAL = 1.0  # seconds; short intervals of many waiting readers would take up the processor
 READER_WAKEUP_TIME = 3.0  # seconds within which a reader processes what the kernel delivered to it
 
@@ -76,7 +75,7 @@
         )
         self.on_message, self.on_closed = on_message, on_closed
         self.target = target or NO_TARGET
-        self.buffer = buffer or MessageBuffer(BACKEND_MESSAGE_SIZES, BACKEND_BUFFER)
+        self.buffer = buffer or MessageBuffer(BACKEND_MESSAGE_SIZES, admits_all=False)
         # monotonic clock, seconds; `message_started_at`: when the first input of the current message was read
         self.last_input_at = self.message_started_at = time.monotonic()
         self.received = 0  # bytes read so far
@@ -109,6 +108,11 @@
     def apply_backpressure(self) -> None:
         """Block, if necessary, until the peer reads. Called after each read, outside the gate."""
 
+    def decide_large_element(self) -> None:
+        """Admit or discard the large element that the peer is sending, if necessary after a wait for memory;
+        without a decision it is asked again. Called outside the gate."""
+        self.buffer.admit()
+
     def wait_for_answers(self, reason: CloseReason) -> None:
         """Block while answers to earlier input are outstanding. Called when the input has ended."""
 
@@ -212,6 +216,7 @@
     def _read_all(self) -> CloseReason:
         """Read and pass on messages until nothing more can be read; return the reason."""
         try:
+            self._pass_on_restored()
             while self.close_reason is None:
                 if self.movable and not self._wait_for_input():
                     continue
@@ -219,12 +224,28 @@
                     if not self._read_once():
                         return CloseReason.CLOSED
                 self.apply_backpressure()
+                if self.buffer.wanted:
+                    self._pass_on_large()
         except GarbledError:
             return CloseReason.GARBLED
         except OSError as error:
             return close_reason_of(error)
         return CloseReason.FAULT  # not used: the connection has a close reason already
 
+    def _pass_on_restored(self) -> None:
+        """Pass on what another process has read of this connection."""
+        if self.buffer.has_partial():
+            with self.gate:
+                self._pass_on_messages()
+            self._pass_on_large()
+
+    def _pass_on_large(self) -> None:
+        """Have large elements admitted or discarded, and pass on the messages that are complete by that."""
+        while self.buffer.wanted and self.close_reason is None:
+            self.decide_large_element()
+            with self.gate:
+                self._pass_on_messages()
+
     def _wait_for_input(self) -> bool:
         """Wait for input without consuming it; False after a transient failure."""
         try:
@@ -252,18 +273,23 @@
         self.last_input_at = time.monotonic()
         if self.close_reason is not None:
             return True  # discarded: sent before the peer saw our close
+        if self._pass_on_messages() or is_new_message:
+            self.message_started_at = self.last_input_at
+        return True
+
+    def _pass_on_messages(self) -> int:
+        """Pass on all complete messages in the buffer; return how many there were. Raises GarbledError."""
+        count = 0
         try:
             while (items := self.buffer.next_message()) is not None:
-                is_new_message = True
+                count += 1
                 self.on_message(self, items)
         except GarbledError:
             with self.lock:
                 self._advance(ConnectionState.UNREADABLE)
             raise
-        if is_new_message:
-            self.message_started_at = self.last_input_at
         self.passed_on = self.received
-        return True
+        return count
 
     def _discard_input(self) -> None:
         """Read and discard remaining input, after `half_close`."""
@@ -271,7 +297,7 @@
         with contextlib.suppress(OSError):
             while bytes_left > 0 and (time_left := until - time.monotonic()) > 0:
                 self.sock.settimeout(time_left)
-                data = self.sock.recv(DRAIN_READ_SIZE)
-                if not data:
+                count = self.sock.recv_into(DISCARDED_INPUT)
+                if not count:
                     break
-                bytes_left -= len(data)
+                bytes_left -= count
--- a/lilacloft/net/downstream.py
+++ b/lilacloft/net/downstream.py
@@ -249,20 +249,25 @@
         verb, tag = items[0], items[1] if len(items) > 1 else b""
         if not tag.isdigit() or tag.startswith(b"0"):
             raise GarbledError("missing or invalid tag")
-        if verb == b"EXEC":
-            self._handle_request(client, items, at)
-        elif verb == b"FORGET":
-            self._handle_cancellation(client, tag, at)
-        elif verb == b"ALIVE":
-            self.counts["checks"] += 1
-            self.answer(client, tag, b"not_serving" if self.gateway.is_shutting_down else b"serving")
-        else:
-            self._reject(client, tag, ERROR)
+        try:
+            if verb == b"EXEC":
+                self._handle_request(client, items, at)
+            elif verb == b"FORGET":
+                self._handle_cancellation(client, tag, at)
+            elif verb == b"ALIVE":
+                self.counts["checks"] += 1
+                self.answer(client, tag, b"not_serving" if self.gateway.is_shutting_down else b"serving")
+            else:
+                self._reject(client, tag, ERROR)
+        finally:
+            if size := client.take_body_reservation():  # no request has come of this message
+                self.request_ledger.release_body(client, size)
 
     def connection_closed(self, client: ClientConnection) -> None:
         """Handle the end of a connection: count it, and report its open requests."""
         self.clients.pop(client, None)
         self.draining.pop(client, None)
+        self.request_ledger.release_body(client, client.take_body_reservation())
         self.closes[(client.close_reason or CloseReason.FAULT).name] += 1
         if client.open:
             self.post(self.gateway.requests.client_disconnected, client, client=client)
@@ -284,9 +289,8 @@
     def _accept_request(self, client: ClientConnection, request: ClientRequest) -> None:
         """Pass a valid request on, or reject it if there is no memory for it. Raises ValueError if another
         request of its name is open."""
-        has_memory = self.request_ledger.reserve(request)
         client.unhandled_bytes += BODY_COPIES * len(request.body)
-        if not has_memory:
+        if not self._reserve_memory(client, request):
             client.useless_message_count = 0
             self.answer(client, request.tag, OVERLOADED, self.rejection_fields)
             return
@@ -303,6 +307,16 @@
             due_at = request.at + request.timeout_ms * TICKS_PER_MILLISECOND
             self.post(self.gateway.requests.arrived, request, client=client, due_at=due_at)
 
+    def _reserve_memory(self, client: ClientConnection, request: ClientRequest) -> bool:
+        """Reserve the memory of a request, or take over what was reserved before its body was read; False if
+        there was none."""
+        if client.buffer.is_incomplete:
+            return False
+        if size := client.take_body_reservation():
+            self.request_ledger.adopt(request, size)
+            return True
+        return self.request_ledger.reserve(request)
+
     def _parse_request(self, client: ClientConnection, items: list[bytes], at: Ticks) -> ClientRequest:
         """Parse a request. Raises ValueError, KeyError or GarbledError if it is invalid, OverflowError if too
         many are open."""
@@ -365,14 +379,14 @@
     def close_stalled(self, write_timeout: float, max_unsent: int, interval: float) -> None:
         """Close stalled connections; called every `interval` seconds.
 
-        These are connections that send no complete message in time or are idle, those that read nothing for
-        `write_timeout` seconds and, while more than `max_unsent` bytes wait in total, those with the most."""
+        These are connections that send no complete message in time or are idle, and those that
+        `close_unreading` closes."""
         now = time.monotonic()
         self._close_idle_or_partial(now, interval)
         for client, since in list(self.draining.items()):
             if now - since > DRAIN_TIME:
                 client.finish_half_close()
-        self._close_unreading(now, write_timeout, max_unsent)
+        self.close_unreading(write_timeout, max_unsent)
 
     def _close_idle_or_partial(self, now: float, interval: float) -> None:
         """Close connections that are idle, or stalled within a message with no more of it received."""
@@ -383,8 +397,11 @@
             if client.close_reason is None and not client.open and idle_time > limit:
                 self._close_if_idle(client, socket.SHUT_WR if client.taken else socket.SHUT_RDWR, stalled)
 
-    def _close_unreading(self, now: float, write_timeout: float, max_unsent: int) -> None:
-        """Close connections that do not read, and resume writing to the others."""
+    def close_unreading(self, write_timeout: float, max_unsent: int) -> None:
+        """Close connections that read nothing for `write_timeout` seconds and, while answers that wait for
+        clients take up more than `max_unsent` bytes in total, those with the most; resume writing to the
+        others."""
+        now = time.monotonic()
         unsent = {client: client.unsent_bytes() for client in list(self.clients)}
         total = sum(unsent.values())
         for client in sorted(unsent, key=lambda client: -unsent[client]):
@@ -392,7 +409,8 @@
                 client.write_progress = (client.written, now)
             if unsent[client]:
                 client.resume_writing()
-            if now - client.write_progress[1] > write_timeout or total > max_unsent:
+            has_stalled = now - client.write_progress[1] > write_timeout
+            if has_stalled or (total > max_unsent and unsent[client]):
                 total -= unsent[client]
                 self.counts["choked"] += client.close_reason is None
                 client.close(CloseReason.CHOKED)
