Budgets divide what the process leaves of its memory limit, not the whole of it

What callers saw: at 32 MB and 1,024 descriptors nothing kept a process under its limit once clients came by hundreds. Cause: a quarter of memory_mb for unread answers, a quarter for requests, an eighth for answers of backends, while the process itself, 512 clients with a thread each and 341 connections to backends were in no account: 20 + 16 + 20 MB and more of 32. The table of object parts had 32,768 entries (16 MB) whatever the limit, so that requests for ever new names grew a process without end at this size.

--- a/lilacloft/gateway/configuration.py
+++ b/lilacloft/gateway/configuration.py
@@ -12,7 +12,7 @@
 from lilacloft import settings_validation
 from lilacloft.log import logger
 from lilacloft.net.discovery_events import DiscoveryEvent, events_of_config
-from lilacloft.net.resource_limits import Budgets, budgets, descriptor_limit
+from lilacloft.net.resource_limits import Budgets, budgets, descriptor_limit, protocol_clients
 from lilacloft.protocol_settings import from_protocol
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
@@ -85,4 +85,12 @@
             descriptors,
             limits["sockets"],
         )
-    return budgets(limits, descriptors)
+    allowed, wanted = budgets(limits, descriptors), protocol_clients(limits, descriptors)
+    if allowed.clients < wanted:
+        logger.warning(
+            "memory_mb {} is enough for {} clients; the descriptors would be enough for {}",
+            limits["memory_mb"],
+            allowed.clients,
+            wanted,
+        )
+    return allowed
--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -83,6 +83,7 @@
             ),
             ListenEndpoint(parse_address(configuration.listen), sock),
         )
+        self.router.freshness.table_size = self.budgets.object_parts
         self.discovery = Discovery(self)
         self._bind_interface()
         self.loop.report_lag = self.router.loop_lagged
--- a/lilacloft/routing/freshness.py
+++ b/lilacloft/routing/freshness.py
@@ -28,6 +28,7 @@
         """Create an empty table. Purges are kept for `purge_lifetime`, and must be applied within
         `purge_grace` of their publication."""
         self.virtual_hosts = virtual_hosts
+        self.table_size = TABLE_SIZE  # less in a gateway with little memory
         self.purge_lifetime = purge_lifetime
         self.object_parts: dict[PartKey, ObjectPart] = {}  # least recently used first
         self.purges: dict[str | int, Ticks] = {}  # time of the last purge, by object key or group number
@@ -44,7 +45,7 @@
         recently used one. Evicts the least recently used entry if the table is full."""
         object_part = self.object_parts.pop(part_key, None) or ObjectPart()
         self.object_parts[part_key] = object_part
-        if len(self.object_parts) > TABLE_SIZE:
+        while len(self.object_parts) > self.table_size:
             del self.object_parts[next(iter(self.object_parts))]
         return object_part
 
