Memory for a large answer is reserved before it is read, until its client has read it

What callers saw: 150 clients that ask for 32 parts of 240,000 bytes each and read nothing took a process of 32 MB to 73 MB (143 MB at 192); answers to ALIVE that 100 clients did not read left 209 of 458 usual requests unanswered. Cause: what clients left unread was looked at every 0.4 s, and what came in between was bounded by the speed of caches alone; answers that backends were in the middle of sending were in no account, in buffers that grew by doubling. Change: a reader of a backend reserves a large answer before it reads it and waits where there is no room, while the bytes stay in the kernel. What its client then leaves unread counts in the same ledger, with the objects that hold it. A shortage is reported at once, and the clients that hold the most are closed then, not at the next round. A reader that waits for memory has not stalled.

--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -84,6 +84,9 @@
             ListenEndpoint(parse_address(configuration.listen), sock),
         )
         self.router.freshness.table_size = self.budgets.object_parts
+        self.upstream.reply_backlog.apply(self.budgets.answer_limits())
+        self.downstream.reply_backlog = self.upstream.reply_backlog
+        self.upstream.reply_backlog.on_shortage = lambda: self.loop.post(self._relieve_shortage)
         self.discovery = Discovery(self)
         self._bind_interface()
         self.loop.report_lag = self.router.loop_lagged
@@ -186,6 +189,12 @@
             self.maintenance_interval / TICKS_PER_SECOND,
         )
 
+    def _relieve_shortage(self) -> None:
+        """Close clients that hold the most unread answers, as there is no memory for others' answers."""
+        self.upstream.reply_backlog.relieved()
+        write_timeout = self.max_client_timeout / TICKS_PER_SECOND
+        self.downstream.close_unreading(write_timeout, self.budgets.unwritten)
+
     def write_soon(self, conn: Connection) -> None:
         """Schedule another write to a connection for which no writing thread could be started."""
         self.call_at(self.time + WRITE_RETRY_DELAY, conn.resume_writing)
--- a/lilacloft/gateway/reload.py
+++ b/lilacloft/gateway/reload.py
@@ -30,7 +30,7 @@
         return
     gateway.budgets = new_budgets
     gateway.downstream.max_clients, gateway.upstream.max_connections = new_budgets.clients, new_budgets.caches
-    gateway.upstream.reply_backlog.max_bytes = new_budgets.replies
+    gateway.upstream.reply_backlog.apply(new_budgets.answer_limits())
     gateway.downstream.request_ledger.budget = new_budgets.requests
     gateway.router.freshness.table_size = new_budgets.object_parts
     gateway.limits = config["limits"]
--- a/lilacloft/gateway/reporting.py
+++ b/lilacloft/gateway/reporting.py
@@ -47,6 +47,7 @@
         yield "log", self._discovery_counts()
         yield "held", self.open_resources()
         yield "request memory", gateway.downstream.request_ledger.summary()
+        yield "answer memory", gateway.upstream.reply_backlog.summary()
         for kind in fields(GatewayLags):
             yield f"lag of {kind.name}", getattr(gateway.lags, kind.name).summary()
         yield "waited for a processor", asdict(processor_wait())
--- a/lilacloft/handover/state_restore.py
+++ b/lilacloft/handover/state_restore.py
@@ -183,7 +183,9 @@
     def _restore_connection(self, conn: Connection, state: messages.ConnectionState) -> None:
         """Restore the fields that client and backend connections have in common."""
         conn.buffer.append(state.partial_message)
-        conn.backlog.extend(PendingMessage(end, memoryview(rest), started=True) for end, rest in state.unsent)
+        conn.restore_pending(
+            PendingMessage(end, memoryview(rest), started=True) for end, rest in state.unsent
+        )
         conn.queued = state.queued_bytes
         conn.written = state.written_bytes
         conn.last_input_at = state.last_read_at
--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -15,6 +15,7 @@
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.net.polling import poll_events
+from lilacloft.net.reply_backlog import ReplyBacklog
 from lilacloft.net.request_ledger import RequestLedger
 from lilacloft.net.resp import CLIENT_MESSAGE_SIZES, IDLE_CLIENT_BUFFER, MAX_PART_SIZE, MessageBuffer
 from lilacloft.net.tcp_info import since_last_data, since_opened
@@ -74,6 +75,7 @@
     gateway: GatewaySide
     counts: dict[str, int]
     request_ledger: RequestLedger
+    reply_backlog: ReplyBacklog
     requests_by_name: dict[str, ClientRequest]
     unclosed: dict[ClientConnection, None]
 
@@ -96,6 +98,8 @@
     `said`, `offences`, `taken`, `settled`, `used` and `moved` are the names under which these attributes are
     handed over between processes."""
 
+    joins_small = True
+
     def __init__(self, downstream: ConnectionOwner, sock: socket.socket) -> None:
         super().__init__(
             downstream.handle_message,
@@ -135,6 +139,10 @@
         """Schedule `resume_writing` in the event loop's thread."""
         self.downstream.post(self.downstream.gateway.write_soon, self)
 
+    def backlog_cost_changed(self, cost: int) -> None:
+        """Count the answers that this client has not read."""
+        self.downstream.reply_backlog.change_unsent(cost)
+
     def record_wait(self, seconds: float) -> None:
         """Record for how long an answer waited to be written."""
         self.downstream.gateway.lags.writes.record(int(seconds * TICKS_PER_SECOND))
--- a/lilacloft/net/downstream.py
+++ b/lilacloft/net/downstream.py
@@ -9,6 +9,7 @@
 import contextlib
 import select
 import socket
+import sys
 import threading
 import time
 from collections import Counter
@@ -24,6 +25,7 @@
 from lilacloft.net.connection import DRAIN_TIME, Connection
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.polling import poll_events
+from lilacloft.net.reply_backlog import ReplyBacklog
 from lilacloft.net.request_ledger import RequestLedger
 from lilacloft.net.resp import GarbledError, encode, encode_fields
 from lilacloft.protocol_settings import NS_PER_TICK
@@ -87,6 +89,7 @@
         self.max_kbytes = limits.max_kbytes
         self.rejection_fields = retry_after_fields(limits.retry_after)
         self.request_ledger = RequestLedger(limits.max_request_bytes)
+        self.reply_backlog = ReplyBacklog(sys.maxsize)  # replaced by that of the upstream side
         self.requests_by_name: dict[str, ClientRequest] = {}  # open ones: readers add, the event loop removes
         self.vhosts = {vhost["name"].encode(): index for index, vhost in enumerate(vhosts)}
         self.vhosts_with_keys = {index for index, vhost in enumerate(vhosts) if vhost["effect"] == "uniqued"}
@@ -402,7 +405,7 @@
         clients take up more than `max_unsent` bytes in total, those with the most; resume writing to the
         others."""
         now = time.monotonic()
-        unsent = {client: client.unsent_bytes() for client in list(self.clients)}
+        unsent = {client: client.backlog_cost for client in list(self.clients)}
         total = sum(unsent.values())
         for client in sorted(unsent, key=lambda client: -unsent[client]):
             if not unsent[client] or client.written != client.write_progress[0]:
--- a/lilacloft/net/resource_limits.py
+++ b/lilacloft/net/resource_limits.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from lilacloft.net.reply_backlog import AnswerLimits
 from lilacloft.routing.memory_budget import divide_memory
 
 MEGABYTE = 1_000_000  # bytes
@@ -21,6 +22,7 @@
 class Budgets(NamedTuple):
     """The maximum in use of each resource."""
 
+    answers: int  # bytes of `unwritten` and `replies` together
     unwritten: int  # bytes buffered for clients that do not read
     replies: int  # bytes of backends' answers that are being read, or that the event loop has not handled
     requests: int  # bytes of clients' requests that are not finished
@@ -28,6 +30,10 @@
     caches: int  # connections to caches, parents and the origin
     object_parts: int  # object parts that are remembered
 
+    def answer_limits(self) -> AnswerLimits:
+        """Return the limits of answers that this process holds."""
+        return AnswerLimits(self.answers, self.unwritten, self.replies)
+
 
 def budgets(limits: Mapping[str, Any], descriptors: int) -> Budgets:
     """Return the budgets for the configuration's `limits` and the system's limit on descriptors, whichever is
@@ -40,6 +46,7 @@
     max_caches = max(1, min(sockets // 3, free * 2 // 5))
     shares = divide_memory(int(limits["memory_mb"] * MEGABYTE), max_clients, max_caches)
     return Budgets(
+        shares.answers,
         shares.unread_answers,
         shares.replies,
         shares.requests,
--- a/lilacloft/net/upstream.py
+++ b/lilacloft/net/upstream.py
@@ -253,18 +253,24 @@
         """Parse one answer and pass it to the event loop. Raises GarbledError."""
         reply = parse_reply(items, self.load_names)
         connection.mark_passed_on()  # before posting: the event loop may check at once
-        self.reply_backlog.add(reply.body)
+        self.reply_backlog.add(reply.body, connection.take_reserved_reply())
         self.post_reply(self.answered, connection, items[0], items[1], reply)
 
     def connection_closed(self, connection: UpstreamConnection) -> None:
         """Pass the end of a connection to the event loop."""
+        self.reply_backlog.release(connection.take_reserved_reply())
         self.post(self.connection_lost, connection)
 
     # --- answers, in the event loop's thread ---
 
     def answered(self, connection: UpstreamConnection, name: bytes, word: bytes, reply: Reply) -> None:
         """Find the attempt or health check that an answer belongs to, and report its end."""
-        self.reply_backlog.remove(reply.body)
+        try:
+            self._handle_answer(connection, name, word, reply)
+        finally:
+            self.reply_backlog.remove(reply.body)  # only now: its copy to the client counts by itself
+
+    def _handle_answer(self, connection: UpstreamConnection, name: bytes, word: bytes, reply: Reply) -> None:
         has_answered, connection.last_read_at = connection.last_read_at > 0, self.now()
         attempt = connection.in_flight.get(name)
         if attempt is None:
@@ -336,7 +342,8 @@
             for connection in pool.connections:
                 if connection.unsent_bytes():
                     connection.resume_writing()
-                if connection.buffer.has_partial() and connection.last_input_at < stalled_since:
+                has_stalled = connection.last_input_at < stalled_since and not connection.awaits_memory
+                if connection.buffer.has_partial() and has_stalled:
                     connection.close(CloseReason.GARBLED)
                 if not connection.in_flight and now - connection.last_used_at >= self.idle_timeout:
                     connection.close(CloseReason.RETIRED)
--- a/lilacloft/net/upstream_pool.py
+++ b/lilacloft/net/upstream_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -56,6 +57,24 @@
         self.last_used_at: Ticks = 0  # when an attempt was last in flight on it
         self.created_at: Ticks = 0
         self.retiring = False  # accepts no new attempts
+        self.reserved_reply = 0  # bytes reserved for the answer that is being read
+        self.awaits_memory = False  # does the reader wait for memory for an answer?
+
+    def decide_large_element(self) -> None:
+        """Admit a large element of an answer once memory is reserved for it; until then the rest of it stays
+        in the kernel."""
+        size, backlog = self.buffer.wanted, self.pool.upstream.reply_backlog
+        self.awaits_memory = True
+        if backlog.reserve(size, CLOSE_CHECK_INTERVAL):
+            self.reserved_reply += size
+            self.buffer.admit()
+            self.last_input_at = time.monotonic()  # before `awaits_memory`: it has not stalled meanwhile
+        self.awaits_memory = False
+
+    def take_reserved_reply(self) -> int:
+        """Return what was reserved for the answer that was read last, which the caller takes over."""
+        size, self.reserved_reply = self.reserved_reply, 0
+        return size
 
     def apply_backpressure(self) -> None:
         """Stop reading while too many answers wait for the event loop."""
