Timers of answered requests leave their heaps before they are due

What callers saw: 340 sound clients with two reads a second each took a process of 32 MB to 29 to 31 MB, 39 KB each, of which a connection is 23. Cause: the time-out of an attempt, the deadline of a request and that of its event stay in three heaps until they are due, up to 3 s after the answer, and hold the request with its attempt and history: 2,000 of them at that rate, and as many as a client can have answered in 3 s at full speed. Change: HeapCompaction removes obsolete entries whenever a heap has doubled, so they never outnumber the others by more than 256. The order of what is left is the same.

--- a/lilacloft/gateway/dispatcher.py
+++ b/lilacloft/gateway/dispatcher.py
@@ -235,8 +235,11 @@
             self.attempt_ended(attempt, CloseReason.TIME_UP)
 
     def is_obsolete(self, timer: ScheduledCall) -> bool:
-        """Return whether a timer is the time-out of an ended attempt: it need not wake the event loop."""
-        return timer.callback == self.attempt_timed_out and timer.arguments[0].connection is None
+        """Return whether a timer is the time-out of an ended attempt, or of a finished request: it need not
+        wake the event loop, nor be kept."""
+        if timer.callback == self.attempt_timed_out:
+            return timer.arguments[0].connection is None
+        return timer.callback == self.send_deadline_passed and timer.arguments[0].request.finished
 
     def report_end(self, attempt: Attempt, end: CloseReason) -> None:
         """Report the end of an unanswered attempt or health check, once the current callback returns."""
--- a/lilacloft/gateway/event_loop.py
+++ b/lilacloft/gateway/event_loop.py
@@ -19,6 +19,7 @@
 from lilacloft.log import logger
 from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.routing.fair_queue import URGENT_TIME, FairQueue
+from lilacloft.routing.heap_compaction import HeapCompaction
 from lilacloft.routing.lag_margin import LagMargin
 from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
@@ -71,6 +72,7 @@
         self.queue: queue.SimpleQueue[Event] = queue.SimpleQueue()  # posted, and not in `work` yet
         self.work: FairQueue[Event] = FairQueue()
         self.timers: list[ScheduledCall] = []  # a heap
+        self.compaction = HeapCompaction()
         self.timer_count = 0
         self.deferred: deque[Event] = deque()  # calls to make once the current callback returns
         self.is_lagging = False
@@ -104,6 +106,7 @@
     def call_at(self, at: Ticks, callback: Callback, *arguments: Any) -> None:
         """Schedule a call for a time; it is made then or later."""
         self.timer_count += 1
+        self.compaction.apply(self.timers, self.is_obsolete)
         heapq.heappush(self.timers, ScheduledCall(at, self.timer_count, callback, arguments, self.clock.time))
 
     def remove_timer(self, callback: Callback, argument: Any) -> ScheduledCall | None:
--- a/lilacloft/routing/deadlines.py
+++ b/lilacloft/routing/deadlines.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from lilacloft.routing.heap_compaction import HeapCompaction
 from lilacloft.routing.host import Host, Timer
 from lilacloft.routing.model import Request
 from lilacloft.routing.units import Ticks
@@ -35,12 +36,14 @@
         """Create an empty queue that sets timers of `host`."""
         self.host = host
         self.deadlines: list[Deadline] = []  # a heap
+        self.compaction = HeapCompaction()
         self.count = 0  # deadlines added so far
         self.wakes_at: float = math.inf
 
     def add(self, due_at: Ticks, request: Request, attempt: int = WHOLE_REQUEST) -> None:
         """Add a deadline for a whole request or, if `attempt` is given, for the attempt with that number."""
         self.count += 1
+        self.compaction.apply(self.deadlines, Deadline.is_obsolete)
         heapq.heappush(self.deadlines, Deadline(due_at, self.count, request, attempt))
         if due_at < self.wakes_at:
             self._set_timer()
--- a/lilacloft/routing/fair_queue.py
+++ b/lilacloft/routing/fair_queue.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass
 from typing import Generic, NamedTuple, TypeVar
 
+from lilacloft.routing.heap_compaction import HeapCompaction
 from lilacloft.routing.units import Ticks
 
 URGENT_TIME: Ticks = 2_000  # a request with at most this much time left is urgent
@@ -41,6 +42,10 @@
     sequence: int  # in the order of adding
     entry: ClientItem[object]
 
+    def is_obsolete(self) -> bool:
+        """Return whether the item was dequeued."""
+        return self.entry.is_dequeued
+
 
 class FairQueue(Generic[Item]):
     """The queued items. Not thread-safe."""
@@ -50,7 +55,8 @@
         self.internal: deque[Item] = deque()  # all other internal items
         self.by_client: dict[Hashable, deque[ClientItem[Item]]] = {}
         self.round_robin: deque[Hashable] = deque()  # the clients of `by_client`, the next one first
-        self.deadlines: list[ItemDeadline] = []  # a heap; items dequeued in turn stay until they are due
+        self.deadlines: list[ItemDeadline] = []  # a heap; items dequeued in turn stay for a while
+        self.compaction = HeapCompaction()
         self.client_count = 0  # queued client items
         self.sequence = 0  # client items added so far
         self.was_overdue = False  # whether the last client item was dequeued out of turn
@@ -77,6 +83,7 @@
         self.client_count += 1
         self.sequence += 1
         if due_at is not None:
+            self.compaction.apply(self.deadlines, ItemDeadline.is_obsolete)
             heapq.heappush(self.deadlines, ItemDeadline(due_at, self.sequence, entry))
 
     def next_client_item(self, due_by: Ticks) -> Item | None:
--- /dev/null
+++ b/tests/test_memory_budget.py
@@ -0,0 +1,75 @@
+"""Guards against budgets whose sum exceeds the memory limit, and against quantities outside the budgets."""
+
+import random
+
+import pytest
+
+from lilacloft.net.reply_backlog import AnswerLimits, ReplyBacklog
+from lilacloft.net.resource_limits import budgets
+from lilacloft.net.resp import MAX_PART_SIZE, MAX_WRITE_SIZE
+from lilacloft.routing.heap_compaction import MIN_SIZE, HeapCompaction
+from lilacloft.routing.memory_budget import PROCESS_SIZE, divide_memory
+from lilacloft.routing.request_memory import memory_of_request
+from rigs.pressure import run_play
+
+MEGABYTE = 1_000_000
+LIMITS = [24, 32, 48, 64, 80, 128, 192, 640]
+DESCRIPTORS = [64, 256, 1024, 4096]
+
+
+@pytest.mark.parametrize("memory_mb", LIMITS)
+@pytest.mark.parametrize("sockets", DESCRIPTORS)
+def test_what_is_divided_and_the_process_itself_exceed_the_limit(memory_mb, sockets):
+    """Guards against shares of the whole limit: the process has its own part of it before the first client."""
+    shares = divide_memory(memory_mb * MEGABYTE, sockets // 2, sockets // 3)
+    assert shares.total() < 0.95 * memory_mb * MEGABYTE
+    assert shares.answers + shares.requests + PROCESS_SIZE < memory_mb * MEGABYTE
+
+
+@pytest.mark.parametrize("memory_mb", [32, 48, 64, 80, 192])
+@pytest.mark.parametrize("sockets", [256, 512, 1024])
+def test_sound_clients_are_turned_away_for_lack_of_memory(memory_mb, sockets):
+    """Guards against budgets below what the protocol's clients may use: a third of the descriptors."""
+    allowed = budgets({"sockets": sockets, "memory_mb": memory_mb}, sockets)
+    assert allowed.clients > sockets // 3
+    assert allowed.requests / 2 > memory_of_request(MAX_WRITE_SIZE)
+    assert allowed.replies > 2 * MAX_PART_SIZE and allowed.unwritten > 2 * MAX_PART_SIZE
+
+
+def test_a_process_is_larger_at_its_start_than_its_budgets_assume():
+    """Guards the constant that the budgets leave for the process itself, with what usual clients make of it."""
+    assert run_play(["none"], 32).peak_mb * (1 << 20) < PROCESS_SIZE
+
+
+def test_an_answer_is_read_before_there_is_memory_for_it():
+    backlog, reports = ReplyBacklog(0), []
+    backlog.on_shortage = lambda: reports.append("short")
+    backlog.apply(AnswerLimits(total=1000, unsent=400, replies=800))
+    assert backlog.reserve(500, 0) and not backlog.reserve(400, 0), "above the limit of replies"
+    backlog.change_unsent(300)
+    assert not backlog.reserve(250, 0), "above the limit of all"
+    assert reports == ["short"], "reported once until it is relieved"
+    backlog.relieved()
+    backlog.change_unsent(200)
+    assert reports == ["short"] * 2, "clients leave too much unread"
+    backlog.release(500)
+    assert not backlog.reserve(10, 0)
+    backlog.change_unsent(-200)
+    assert backlog.reserve(5000, 0), "one answer at a time always has room"
+    backlog.release(5000)
+    assert (backlog.size, backlog.unsent) == (0, 300)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_finished_entries_of_a_heap_outnumber_the_others(seed):
+    """Guards against timers of answered requests that hold them until their deadlines."""
+    rng, heap, compaction, live = random.Random(seed), [], HeapCompaction(), {}
+    for number in range(5_000):
+        compaction.apply(heap, lambda entry: entry not in live)
+        entry = (rng.random(), number)
+        heap.append(entry)
+        live[entry] = None
+        if len(live) > 100:
+            del live[rng.choice(list(live))]
+        assert len(heap) <= max(MIN_SIZE, 2 * 101)
+        assert live.keys() <= set(heap)
