--- a/lilacloft/net/reply_backlog.py
+++ b/lilacloft/net/reply_backlog.py
@@ -1,8 +1,8 @@
 """The bytes of answers that this process holds: those that were read from backends, or are being read, and
 those that clients have not read yet.
 
-Memory is reserved for a large answer before it is read. Readers of backends wait while there is none, and what
-they do not read stays in the kernel. What clients do not read counts as well, as it is held for as long.
+Memory is reserved for a large answer before it is read. Readers of backends wait while there is none, and
+what they do not read stays in the kernel. What clients do not read counts as well, as it is held for as long.
 """
 
 from __future__ import annotations
@@ -112,7 +112,9 @@
             self.on_shortage()
 
     def _change(self, size: int, unsent: int) -> None:
-        """Change the figures, and wake readers that wait if memory was released. Called with the lock held."""
+        """Change the figures, and wake readers that wait if memory was released.
+
+        Called with the lock held."""
         self.size += size
         self.unsent += unsent
         self.most = max(self.most, self.size + self.unsent)
--- a/lilacloft/net/request_ledger.py
+++ b/lilacloft/net/request_ledger.py
@@ -1,7 +1,8 @@
 """The bytes that clients' unfinished requests occupy in this process.
 
-Readers reserve them for each large body before they read it, and for each request that they pass on; the event
-loop releases them once the request is finished. lilacloft/routing/request_memory.py decides who may occupy how much.
+Readers reserve them for each large body before they read it, and for each request that they pass on; the
+event loop releases them once the request is finished. lilacloft/routing/request_memory.py decides who may
+occupy how much.
 """
 
 from __future__ import annotations
--- a/lilacloft/net/resp.py
+++ b/lilacloft/net/resp.py
@@ -1,7 +1,7 @@
 """Messages on a connection: arrays of bulk strings in the Redis protocol (RESP), and lists of fields in them.
 
-The parser allocates memory by the input received, or for an element whose reader has admitted its stated size.
-For malformed input of any kind it raises GarbledError and nothing else.
+The parser allocates memory by the input received, or for an element whose reader has admitted its stated
+size. For malformed input of any kind it raises GarbledError and nothing else.
 """
 
 from __future__ import annotations
@@ -47,10 +47,10 @@
     """The read buffer of a connection, and the parser of the messages in it.
 
     A message is parsed incrementally, and no byte is parsed twice. Each element has a size limit by its
-    position, so that malformed input is detected by its first lines. Elements above `MAX_BUFFERED_ELEMENT` are
-    not read before `admit` or `discard` is called for them (`wanted` has their size): memory is reserved before
-    it is used. An admitted one is read into memory of exactly its size; of a discarded one nothing is kept, and
-    the message has an empty element in its place, with `is_incomplete` set.
+    position, so that malformed input is detected by its first lines. Elements above `MAX_BUFFERED_ELEMENT`
+    are not read before `admit` or `discard` is called for them (`wanted` has their size), so that memory is
+    reserved before it is used. An admitted one is read into memory of exactly its size; of a discarded one
+    nothing is kept, and the message has an empty element in its place, with `is_incomplete` set.
     """
 
     def __init__(
--- a/lilacloft/routing/memory_budget.py
+++ b/lilacloft/routing/memory_budget.py
@@ -1,8 +1,8 @@
 """How a gateway divides its memory between clients, backends, requests, answers and what it remembers.
 
 Only what the process does not need for itself is divided. Each share bounds a quantity that a peer can make
-large; the sum of all shares and of the process stays below the limit, with a reserve for the allocator. Clients
-come first, as each of them is owed answers, then backends; requests and answers share what is left.
+large; the sum of all shares and of the process stays below the limit, with a reserve for the allocator.
+Clients come first, as each of them is owed answers, then backends; requests and answers share what is left.
 
 No I/O and no clock. All sizes are bytes.
 """
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -20,7 +20,7 @@
 @pytest.mark.parametrize("memory_mb", LIMITS)
 @pytest.mark.parametrize("sockets", DESCRIPTORS)
 def test_what_is_divided_and_the_process_itself_exceed_the_limit(memory_mb, sockets):
-    """Guards against shares of the whole limit: the process has its own part of it before the first client."""
+    """Guards against shares of the whole limit: the process has its part of it before the first client."""
     shares = divide_memory(memory_mb * MEGABYTE, sockets // 2, sockets // 3)
     assert shares.total() < 0.95 * memory_mb * MEGABYTE
     assert shares.answers + shares.requests + PROCESS_SIZE < memory_mb * MEGABYTE
@@ -37,7 +37,7 @@
 
 
 def test_a_process_is_larger_at_its_start_than_its_budgets_assume():
-    """Guards the constant that the budgets leave for the process itself, with what usual clients make of it."""
+    """Guards the constant that the budgets leave for the process itself, beside usual clients."""
     assert run_play(["none"], 32).peak_mb * (1 << 20) < PROCESS_SIZE
 
 
