--- a/rigs/pressure.py
+++ b/rigs/pressure.py
@@ -83,11 +83,19 @@
     return encode(b"EXEC", b"%d" % tag, b"clip", fields.encode(), b"")
 
 
+def anonymous_memory(pid: int) -> int:
+    """Return the anonymous pages of a process, in bytes; 0 if it has ended."""
+    try:
+        return int(Path(f"/proc/{pid}/status").read_text().split("RssAnon:")[1].split()[0]) * 1024
+    except (OSError, IndexError):
+        return 0
+
+
 class Memory:
     """Watches the anonymous memory of a process."""
 
     def __init__(self, pid: int) -> None:
-        self.path = Path(f"/proc/{pid}/status")
+        self.pid = pid
         self.peak = self.first = self.now()
         self.done = threading.Event()
         self.thread = threading.Thread(target=self._watch, daemon=True)
@@ -95,10 +103,7 @@
 
     def now(self) -> int:
         """Return the anonymous pages now, in bytes; 0 once the process has ended."""
-        try:
-            return int(self.path.read_text().split("RssAnon:")[1].split()[0]) * 1024
-        except (OSError, IndexError):
-            return 0
+        return anonymous_memory(self.pid)
 
     def _watch(self) -> None:
         while not self.done.wait(SAMPLE_INTERVAL):
--- a/rigs/rude.py
+++ b/rigs/rude.py
@@ -14,9 +14,10 @@
 import time
 from collections.abc import Callable
 
-from lilacloft.net.resp import encode, encode_fields
+from lilacloft.net.resp import MAX_FIELDS_SIZE, MAX_WRITE_SIZE, encode, encode_fields
 
 RESET = struct.pack("ii", 1, 0)
+FLOOD_TIME = 0.3  # seconds
 
 
 class Rude:
@@ -101,3 +102,57 @@
     def _send_many_and_close(self, sock: socket.socket) -> None:
         sock.sendall(b"".join(self._request(tag) for tag in range(1, 33)))
         sock.close()
+
+
+class PressingRude(Rude):
+    """Misbehaves in the ways of `Rude`, and in those that take up much memory or time of a gateway."""
+
+    def __init__(self, ports: list[int], chance: random.Random, every: float = 0.05) -> None:
+        super().__init__(ports, chance, every)
+        self.behaviours += (
+            self._send_most_of_a_write,
+            self._send_most_of_a_write,
+            self._send_short_fields,
+            self._send_large_writes,
+            self._flood_cancellations,
+            self._flood_checks_unread,
+        )
+
+    def _write(self, tag: int) -> bytes:
+        fields = {
+            "ref": f"{self.chance.getrandbits(64):016x}",
+            "allow": 1500,
+            "replay": f"{self.chance.getrandbits(128):032x}",
+            "lookup": f"{self.chance.randrange(300):016x}",
+            "nth": 0,
+            "batch": 7,
+            "room": 40.0,
+        }
+        return encode(b"EXEC", b"%d" % tag, b"pay", encode_fields(fields.items()), bytes(MAX_WRITE_SIZE))
+
+    def _send_most_of_a_write(self, sock: socket.socket) -> None:
+        sock.sendall(self._write(1)[:47_000])
+        self.kept.append(sock)
+
+    def _send_short_fields(self, sock: socket.socket) -> None:
+        fields = ",".join(f"f{number}=" for number in range(200))[:MAX_FIELDS_SIZE].encode()
+        sock.sendall(b"".join(encode(b"EXEC", b"%d" % tag, b"clip", fields, b"") for tag in range(1, 33)))
+        self.kept.append(sock)
+
+    def _send_large_writes(self, sock: socket.socket) -> None:
+        sock.settimeout(0.3)
+        sock.sendall(b"".join(self._write(tag) for tag in range(1, 33)))
+        self.kept.append(sock)
+
+    def _flood_cancellations(self, sock: socket.socket) -> None:
+        self._flood(sock, encode(b"FORGET", b"7") * 100)
+
+    def _flood_checks_unread(self, sock: socket.socket) -> None:
+        self._flood(sock, encode(b"ALIVE", b"7", b"") * 100)
+
+    def _flood(self, sock: socket.socket, data: bytes) -> None:
+        sock.settimeout(FLOOD_TIME)
+        until = time.monotonic() + FLOOD_TIME
+        while time.monotonic() < until:
+            sock.sendall(data)
+        self.kept.append(sock)
--- a/rigs/soak.py
+++ b/rigs/soak.py
@@ -1,5 +1,6 @@
 """A soak test of a few dozen real processes on loopback with overlapping faults:
-`python -m rigs.soak --seeds 1 2 3 [--gateways 24 --seconds 20 --troubles 16] [--hard] [--json FILE]`.
+`python -m rigs.soak --seeds 1 2 3 [--gateways 24 --seconds 20 --troubles 16] [--hard] [--press]
+[--memory 192] [--deadline 3.0] [--json FILE]`.
 
 Gateways, backends and a relay on each link are processes, as in rigs.fleet, without planners. The seed
 determines the faults, two or three at a time: planned restarts, kills, pauses, series of new configurations
@@ -13,6 +14,10 @@
 connections until then, and there are load spikes: three times the rate for a second or two, at one gateway
 or at all.
 
+With `--press` misbehaving clients also take up memory and time (rigs.rude.PressingRude). `--memory` is the
+gateways' limit in MB, which no process may pass; `--deadline` the longest deadline in seconds, of which the
+earliest kill and the clients' own limits follow.
+
 The verdict is made from the event logs of clients and backends (rigs.checker, including the rules on
 attempts), the gateways' own checks (lilacloft/invariants.py), and the processes' exits: a planned exit has
 code 0 and is in time, no start takes 10 s, no event ends in an exception, and nothing is held once all
@@ -42,14 +47,18 @@
 from rigs.fleet import PROPAGATION_SECONDS, BackendInfo, Fleet
 from rigs.lateness import lateness, relay_entries, who_was_late
 from rigs.load import Load
-from rigs.rude import Rude
+from rigs.pressure import anonymous_memory
+from rigs.rude import PressingRude, Rude
 from rigs.scene import Gateway
 from rigs.told import tell
 
 WARM_UP = 2.0  # seconds of service before the first fault
 COOL_DOWN = 1.0  # seconds of service after the last fault
 PURGE_RETENTION = 6.0  # seconds for which the settings keep purges in a configuration
-EARLIEST_KILL = 3.7  # seconds after SIGTERM; the protocol's minimum for deadlines of 3 s
+LONGEST_DEADLINE = 3.0  # seconds; a longer one counts as this
+KILL_MARGIN = 0.7  # seconds from SIGTERM to the earliest kill, beside the longest deadline
+MEGABYTE = 1_000_000
+MEMORY_INTERVAL = 0.05  # seconds between two samples
 SIGNAL_SERIES = 0.1  # seconds over which a series of signals is spread
 START_SPAN = 0.6  # seconds after a process's start in which it may be signalled
 SPIKE_FACTOR = 3.0  # multiple of the usual request rate
@@ -100,12 +109,26 @@
     slowest_start: float = 0.0
 
 
+@dataclass(frozen=True)
+class SoakOptions:
+    """How hard a run is."""
+
+    hard: bool = False  # series of signals, early kills, load spikes
+    press: bool = False  # clients that take up memory and time
+    memory_mb: int = 192
+    deadline: float = LONGEST_DEADLINE  # seconds
+
+
 class Soak(Fleet):
     """The processes and faults of one run."""
 
-    def __init__(self, folder: Path, seed: int, gateways: int, hard: bool = False) -> None:
+    def __init__(self, folder: Path, seed: int, gateways: int, options: SoakOptions = SoakOptions()) -> None:
         super().__init__(folder, seed, gateways, planners=0, zones=2, caches=3, hubs=1, parents=2)
-        self.exit_timeout = EARLIEST_KILL if hard else EXIT_TIMEOUT  # for a planned exit
+        self.memory_mb, self.options = options.memory_mb, options
+        earliest_kill = min(LONGEST_DEADLINE, options.deadline) + KILL_MARGIN
+        self.exit_timeout = earliest_kill if options.hard else EXIT_TIMEOUT  # for a planned exit
+        self.peak_memory = 0  # bytes of anonymous memory, of any gateway process at any time
+        self.is_over = threading.Event()
         self.load: Load | None = None
         self.spike_active = False
         self.purged: list[tuple[int, str, float]] = []  # number, object and time
@@ -130,9 +153,19 @@
             spec["steps"] = [[chance.uniform(3, 10), chance.choice((HOUR_MS, -HOUR_MS, 5000, -5000))]]
         return spec
 
+    def watch_memory(self) -> None:
+        """Record the largest process until the run is over."""
+        while not self.is_over.wait(MEMORY_INTERVAL):
+            for gateway in self.gateways:
+                if gateway.process is not None:
+                    self.peak_memory = max(self.peak_memory, anonymous_memory(gateway.process.pid))
+
     def config(self, gateway: Any) -> dict[str, Any]:
         """Add the recent purges, as the protocol requires, and the address of the change log in use."""
         config, now = super().config(gateway), time.time()
+        for vhost in config["settings"]["classes"]:
+            vhost["deadlineNs"] = int(self.options.deadline * 1e9)
+            vhost["promiseNs"] = min(vhost["promiseNs"], vhost["deadlineNs"] // 2)
         config["known"]["results"] += [
             {"seq": number, "invalidate": {"object": key, "time": int(at * 1000)}}
             for number, key, at in self.purged
@@ -373,22 +406,26 @@
     troubles: int,
     rate: float,
     keep: Path | None = None,
-    hard: bool = False,
+    options: SoakOptions = SoakOptions(),
 ) -> dict[str, Any]:
     """Make one run and return its report; event logs and process logs are copied to `keep` if given."""
     with tempfile.TemporaryDirectory(prefix="soak") as name:
-        fleet = Soak(Path(name), seed, gateways, hard)
+        fleet = Soak(Path(name), seed, gateways, options)
         chance = fleet.chance("troubles")
         schedule = sorted(
-            (chance.uniform(0, seconds), chance.choice(HARD_FAULT_KINDS if hard else FAULT_KINDS))
+            (chance.uniform(0, seconds), chance.choice(HARD_FAULT_KINDS if options.hard else FAULT_KINDS))
             for _ in range(troubles)
         )
         try:
             fleet.start()
             load = Load(fleet, rate, held=2)  # type: ignore[arg-type]
-            load.allows, load.forgets, load.resends_bookings = (2500, 2500, 1500, 600, 120), 0.05, True
+            scale = options.deadline / LONGEST_DEADLINE
+            load.allows = tuple(int(allow * scale) for allow in (2500, 2500, 1500, 600, 120))
+            load.forgets, load.resends_bookings = 0.05, True
             fleet.load = load
-            rude = Rude([gateway.port for gateway in fleet.gateways], fleet.chance("rude"))
+            kind_of_rude = PressingRude if options.press else Rude
+            rude = kind_of_rude([gateway.port for gateway in fleet.gateways], fleet.chance("rude"))
+            threading.Thread(target=fleet.watch_memory, daemon=True).start()
             load.start()
             rude.start()
             time.sleep(WARM_UP)
@@ -416,9 +453,12 @@
                 lines = "".join(json.dumps(entry) + "\n" for entry in entries)
                 (kept / "account.jsonl").write_text(lines)
         finally:
+            fleet.is_over.set()
             fleet.close()
     return {
         "seed": seed,
+        "peak_memory_mb": round(fleet.peak_memory / MEGABYTE, 1),
+        "memory_mb": options.memory_mb,
         "gateways": gateways,
         "seconds": seconds,
         "troubles": [f"{at:.2f} {kind}" for at, kind in schedule],
@@ -454,6 +494,7 @@
         or report["ended_late"]
         or set(report["codes"]) - {"0"}
         or report["slowest_start_s"] > START_TIMEOUT
+        or report.get("peak_memory_mb", 0) > report.get("memory_mb", 0)
     )
 
 
@@ -465,13 +506,17 @@
     parser.add_argument("--troubles", type=int, default=24)
     parser.add_argument("--rate", type=float, default=200.0)
     parser.add_argument("--hard", action="store_true", help="series of signals, early kills, load spikes")
+    parser.add_argument("--press", action="store_true", help="clients that take up memory and time")
+    parser.add_argument("--memory", type=int, default=192, help="the gateways' limit in MB")
+    parser.add_argument("--deadline", type=float, default=LONGEST_DEADLINE, help="the longest, in seconds")
     parser.add_argument(
         "--keep", type=Path, metavar="FOLDER", help="where event logs and process logs are kept"
     )
     parser.add_argument("--json", metavar="FILE")
     args = parser.parse_args(argv)
+    options = SoakOptions(args.hard, args.press, args.memory, args.deadline)
     reports = [
-        run(seed, args.gateways, args.seconds, args.troubles, args.rate, args.keep, args.hard)
+        run(seed, args.gateways, args.seconds, args.troubles, args.rate, args.keep, options)
         for seed in args.seeds
     ]
     tell({"runs": reports, "bad": [report["seed"] for report in reports if has_failed(report)]}, args.json)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,9 @@
 
 def test_a_short_soak_with_signals_in_series_early_kills_and_crowds_breaks_nothing():
     """Clients use their open connections until the earliest kill after SIGTERM; requests were lost there."""
-    report = soak.run(seed=1, gateways=10, seconds=6.0, troubles=14, rate=120.0, hard=True)
+    report = soak.run(
+        seed=1, gateways=10, seconds=6.0, troubles=14, rate=120.0, options=soak.SoakOptions(hard=True)
+    )
     assert not soak.has_failed(report), report
     kinds = {trouble.split()[1] for trouble in report["troubles"]}
     assert {"signals", "crowd", "term"} <= kinds and report["counts"]["done"] > 300
