A message whose write fails leaves the account of unread answers once

Cause: took a message's memory out of the account after its write, also where that write had failed and the close had released the whole backlog with it. A drifting account would admit more than there is memory for. open_resources() tells answer_bytes now, so each test that waits for an idle gateway checks both accounts.

--- a/lilacloft/gateway/reporting.py
+++ b/lilacloft/gateway/reporting.py
@@ -103,6 +103,7 @@
             "parting": len(gateway.downstream.draining),
             "unwritten": sum(client.unsent_bytes() for client in list(gateway.downstream.clients)),
             "request_bytes": gateway.downstream.request_ledger.reserved,
+            "answer_bytes": gateway.upstream.reply_backlog.size + gateway.upstream.reply_backlog.unsent,
             "out": sum(attempt.client_request is not None for attempt in in_flight),
             "checks": sum(attempt.client_request is None for attempt in in_flight),
             "reqs": sum(len(backend.requests) for backend in backends),
--- a/lilacloft/net/write_backlog.py
+++ b/lilacloft/net/write_backlog.py
@@ -178,6 +178,8 @@
             size = len(message.unsent)
             is_first = not message.started
             message.unsent = self._send_now(message.unsent, message.position)
+            if self.close_reason is not None:  # its memory was released with the rest of the backlog
+                return
             if is_first and len(message.unsent) < size:
                 self.record_wait(time.monotonic() - message.queued_at)
             if message.unsent:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -1,6 +1,7 @@
 """Guards against budgets whose sum exceeds the memory limit, and against quantities outside the budgets."""
 
 import random
+import socket
 
 import pytest
 
@@ -10,7 +11,9 @@
 from lilacloft.routing.heap_compaction import MIN_SIZE, HeapCompaction
 from lilacloft.routing.memory_budget import PROCESS_SIZE, divide_memory
 from lilacloft.routing.request_memory import memory_of_request
+from rigs.inprocess import resets, until
 from rigs.pressure import run_play
+from rigs.stands import serves
 
 MEGABYTE = 1_000_000
 LIMITS = [24, 32, 48, 64, 80, 128, 192, 640]
@@ -73,3 +76,20 @@
             del live[rng.choice(list(live))]
         assert len(heap) <= max(MIN_SIZE, 2 * 101)
         assert live.keys() <= set(heap)
+
+
+def test_answers_of_clients_that_reset_stay_in_the_account_or_leave_it_twice(in_process):
+    """Guards against an account that drifts where a write fails in the middle of a backlog."""
+    body = bytes(MAX_PART_SIZE)
+    world = in_process(serves(body))
+    askers = [world.asker() for _ in range(8)]
+    for asker in askers:
+        asker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        for key in range(1, 8):
+            asker.ask(key=key)
+    until(lambda: world.owner.upstream.reply_backlog.unsent > len(body))
+    for asker in askers:
+        resets(asker)
+    world.wait_until_idle()
+    backlog = world.owner.upstream.reply_backlog
+    assert (backlog.size, backlog.unsent) == (0, 0)
