A planned end closes its listener before its last moment where deadlines are short

Cause: connections are closed from 1.5 s after SIGTERM, whoever sends on, but with deadlines under 1 s the last moment comes first (0.7 s + the deadline - a maintenance interval / 2): the process ended from its DRAINING phase, its listener open until the exit, and what was accepted in between was read by nobody. Change: from 0.7 s and half of the longest deadline on, 1.5 s at most, connections are closed; the listener is closed at the last moment whatever came before. Deadlines of 1.6 s and more see no change. Test: clients that connect anew for each request until none can be made.

--- a/lilacloft/gateway/lifecycle.py
+++ b/lilacloft/gateway/lifecycle.py
@@ -17,6 +17,7 @@
 MAX_ARRIVAL_GAP = 0.2  # seconds without a request, after those, until no more are expected
 LATEST_CLOSING = 1.5  # seconds after SIGTERM from which connections are closed although requests still arrive
 CLIENT_CLOSE_GRACE = 0.3  # seconds for clients to close their halves once ours are closed
+CLOSING_SHARE = 0.5  # of the longest deadline: with short deadlines connections are closed earlier than that
 EARLIEST_KILL = 3.0  # seconds from the end of `ARRIVALS_AFTER_STOP` until the process may be killed
 MIN_CLOSING_INTERVAL: Ticks = 10  # between two checks of connections that are closing
 
@@ -39,6 +40,7 @@
         self.phase = Phase.STARTING
         self.shutdown_started: Ticks = 0  # when SIGTERM was received; 0: not yet
         self.shutdown_deadline: Ticks = 0  # by when all requests must be answered
+        self.latest_closing: Ticks = 0  # from when on connections are closed although requests still arrive
         self.listener_closed_at: Ticks = 0
         self.last_arrival: Ticks = 0  # when the last request arrived
 
@@ -60,6 +62,8 @@
         arrivals = int(ARRIVALS_AFTER_STOP * TICKS_PER_SECOND)
         longest = min(gateway.max_client_timeout, int(EARLIEST_KILL * TICKS_PER_SECOND))
         self.shutdown_deadline = now + arrivals + longest - gateway.maintenance_interval
+        latest = int(LATEST_CLOSING * TICKS_PER_SECOND)
+        self.latest_closing = now + min(latest, arrivals + int(CLOSING_SHARE * longest))
         gateway.loop.call_at(self.shutdown_deadline, self._reject_open_requests)
 
     def is_finished(self) -> bool:
@@ -73,6 +77,7 @@
         last_moment = self.shutdown_deadline + self.gateway.maintenance_interval // 2
         if not is_settled and self.gateway.clock.time <= last_moment:
             return False
+        self.gateway.downstream.stop_accepting()
         self.gateway.downstream.close_remaining()  # the process may run on, but answers nothing more
         return True
 
@@ -92,7 +97,7 @@
 
     def _is_overdue(self) -> bool:
         """Return whether clients have gone on sending for longer than the protocol allows."""
-        return self.gateway.clock.time >= self.shutdown_started + LATEST_CLOSING * TICKS_PER_SECOND
+        return self.gateway.clock.time >= self.latest_closing
 
     def _close_listener(self, is_busy: bool) -> None:
         """Stop accepting clients once arrivals are over and no connection or message is unread. Clients that
