Behind unread input a client counts as left since its reader fell behind

Cause: the end of a client's input is reported behind all of its bytes, and what the gateway's kernel has no room for is still with the client's. A reader that got no processor for a while then reads request after request of a client that has long gone: each counted as left since the last byte that came, and bytes went on coming as the window opened. The test that eight writes of a client that stays are served passes before and after.

--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -125,6 +125,8 @@
         self.emptied_at: Ticks = 0  # when all input had been read, by the monotonic clock; 0: unknown
         # when reading was paused, by the monotonic clock, for what may not all be read yet; 0: it was not
         self.paused_reading_at: Ticks = 0
+        # since when, by the monotonic clock, input may have been waiting unread without a break; 0: it is all read
+        self.behind_since: Ticks = 0
         # `last_input_at` at the last check, and since when there is unread input
         self.unread_since = (0.0, 0)
         downstream.unclosed[self] = None
@@ -147,6 +149,13 @@
         """Record for how long an answer waited to be written."""
         self.downstream.gateway.lags.writes.record(int(seconds * TICKS_PER_SECOND))
 
+    def input_read(self, count: int) -> None:
+        """Record since when reading lags behind what the client sends. After a small read it does not."""
+        if count < IDLE_CLIENT_BUFFER or not poll_events(self.sock, select.POLLIN):
+            self.behind_since = 0
+        elif not self.behind_since:
+            self.behind_since = int(self.last_input_at * TICKS_PER_SECOND)
+
     def decide_large_element(self) -> None:
         """Admit a large body if memory can be reserved for its request; else its bytes are dropped as they
         come, and the request is rejected once it is whole."""
@@ -183,10 +192,11 @@
         A reader that only rejects requests waits as well: many that read without a pause would leave the
         event loop's thread no time."""
         self.paused_reading_at = self.paused_reading_at or time.monotonic_ns() // NS_PER_TICK
+        self.behind_since = self.behind_since or self.paused_reading_at
         self._wait_for_event_loop()
         self.unhandled_bytes = 0
         if not self._has_more_input():
-            self.paused_reading_at = 0
+            self.paused_reading_at = self.behind_since = 0
 
     def wait_for_answers(self, reason: CloseReason) -> None:
         """Wait for the answers to the requests that were read: the client may have closed only its half.
@@ -251,7 +261,8 @@
         0 if it certainly has; None if it is connected and all its input was read. Any thread may call this.
         The kernel reports an end of input before it is read, but not its time, which is no earlier than that
         of the last byte. Unread or unprocessed input may contain a cancellation, received when the input was
-        first detected or when the last byte arrived, whichever is earlier."""
+        first detected or when the last byte arrived, whichever is earlier. Behind input that has been waiting
+        without a break even the end is not reported: the client's own kernel may still hold it."""
         if self.close_reason is not None:
             return 0
         if self.input_ended is not None:
@@ -259,7 +270,7 @@
         events = self._poll_input()
         if self.close_reason is not None or events & (select.POLLERR | select.POLLHUP | select.POLLNVAL):
             return 0
-        if not events and not self._has_unprocessed_input():
+        if not events and not self.behind_since and not self._has_unprocessed_input():
             return None
         since = self.last_byte_at()
         if events & select.POLLRDHUP:
@@ -268,6 +279,8 @@
             came, before = self.unread_since
             if came == self.last_input_at:  # nothing was read since the last check
                 since = min(since, before)
+            if self.behind_since:  # the client may have closed behind bytes that the kernel has no room for
+                since = min(since, self.behind_since)
             self.unread_since = (self.last_input_at, since)
         return since
 
--- a/lilacloft/net/connection.py
+++ b/lilacloft/net/connection.py
@@ -105,6 +105,9 @@
 
     # --- hooks for subclasses ---
 
+    def input_read(self, count: int) -> None:
+        """Handle that `count` bytes were read, before their messages are passed on."""
+
     def apply_backpressure(self) -> None:
         """Block, if necessary, until the peer reads. Called after each read, outside the gate."""
 
@@ -271,6 +274,7 @@
             return False
         self.received += count
         self.last_input_at = time.monotonic()
+        self.input_read(count)
         if self.close_reason is not None:
             return True  # discarded: sent before the peer saw our close
         if self._pass_on_messages() or is_new_message:
