An id that comes again after its client has left has the history of its first request

Cause: the name of a request was free as soon as its client had cancelled it, reset its connection or been answered, while its attempt could still run, and nothing was known of it after that. A request of the same id was new: sent on at once, beside the first, or again after it, also where its effect may happen only once. While a request of an id is in progress, for whomever, another one is answered at once: rejected where requests may be repeated, failed otherwise. The table's size follows the memory limit; beyond it the oldest ids are forgotten. An id whose request never ran is refused or served as before. Not handed over in an upgrade: the form of the state has no field for it.

--- a/lilacloft/gateway/client_requests.py
+++ b/lilacloft/gateway/client_requests.py
@@ -14,7 +14,7 @@
 from lilacloft.net.client_connection import ClientConnection
 from lilacloft.net.client_request import ClientRequest
 from lilacloft.net.downstream import retry_after_fields
-from lilacloft.routing.model import RejectReason, Request
+from lilacloft.routing.model import Idempotency, RejectReason, Request
 from lilacloft.routing.units import Ticks
 
 
@@ -53,6 +53,7 @@
         client_deadline = arrived_at + min(client_request.timeout_ms * TICKS_PER_MILLISECOND, client_timeout)
         client_request.request = request = self._make_request(client_request, arrived_at, client_deadline)
         gateway.open_requests[request] = client_request
+        is_first = gateway.executed_requests.begin(client_request.name, request)
         client_request.history = self.request_history(client_request, request)
         client_request.history.deadline = client_deadline
         waited = self.clock.monotonic_time - client_request.at
@@ -63,12 +64,22 @@
             gateway.vhosts[client_request.vhost]["name"],
             waited,
         )
+        if not is_first:
+            self._answer_repeated(client_request)
+            return
         if gateway.store:
             gateway.store.note_earlier_execution(client_request, request)
         if gateway.recorder:
             gateway.recorder.request_arrived(client_request)
         gateway.router.request_arrived(request)
 
+    def _answer_repeated(self, client_request: ClientRequest) -> None:
+        """Answer a request at once while another one with its id, whose client has left, is in progress."""
+        is_safe = self.effects[client_request.vhost].kind == Idempotency.SAFE
+        client_request.request.finished = True
+        self.answers.send(client_request, AnswerKind.REJECTED if is_safe else AnswerKind.FAILED)
+        self.loop.defer(self.dispatcher.forget_if_finished, client_request)
+
     def _make_request(self, client_request: ClientRequest, arrived_at: Ticks, deadline: Ticks) -> Request:
         """Return the router's request. Its deadline is the client's, less the margin for this process's own
         lag; during a shutdown it is no later than the shutdown's deadline."""
--- a/lilacloft/gateway/context.py
+++ b/lilacloft/gateway/context.py
@@ -17,6 +17,7 @@
 from lilacloft.net.request_trace import Trace
 from lilacloft.net.resource_limits import Budgets
 from lilacloft.net.upstream import Upstream
+from lilacloft.routing.executed_requests import ExecutedRequests
 from lilacloft.routing.model import Backend, Request
 from lilacloft.routing.router import Router
 from lilacloft.routing.units import Ticks
@@ -49,6 +50,7 @@
         self.trace = Trace()
         # includes finished requests whose attempt is still in flight
         self.open_requests: dict[Request, ClientRequest] = {}
+        self.executed_requests = ExecutedRequests()
         self.backends: dict[str, Backend] = {}  # by name
         self.store: Any = None  # lilacloft.store.gateway_store.GatewayStore, if effects must survive a crash
         self.recorder: Any = None  # lilacloft.record.recorder.Recorder, if records are written
--- a/lilacloft/gateway/dispatcher.py
+++ b/lilacloft/gateway/dispatcher.py
@@ -17,6 +17,7 @@
 from lilacloft.net.client_request import ClientRequest
 from lilacloft.net.close_reasons import OUTCOMES, CloseReason
 from lilacloft.net.upstream_answers import NO_REPLY, Reply
+from lilacloft.routing.executed_requests import Execution
 from lilacloft.routing.host import AttemptResult, Dispatch
 from lilacloft.routing.model import Backend, Idempotency, Outcome, Request
 from lilacloft.routing.units import Ticks
@@ -156,9 +157,25 @@
         if client_request.attempt is None:
             if self.gateway.open_requests.pop(client_request.request, None) is not None:
                 self.gateway.downstream.request_ledger.release(client_request)
+                self.gateway.executed_requests.end(
+                    client_request.name, client_request.request, self._execution_of(client_request)
+                )
         else:
             self._withdraw_unsent(client_request.attempt)
 
+    @staticmethod
+    def _execution_of(client_request: ClientRequest) -> Execution | None:
+        """Return when a finished request may have been executed first; None if it was not, or if it may be
+        executed any number of times."""
+        history = client_request.history
+        if history.effect.kind == Idempotency.SAFE:
+            return None
+        if history.first_executed_at is not None:
+            return Execution(history.first_executed_at, history.first_executed_by)
+        if client_request.last_outcome == Outcome.DONE:
+            return Execution(history.sent_at, history.backend)
+        return None
+
     # --- ends ---
 
     def attempt_ended(self, attempt: Attempt, end: CloseReason, reply: Reply = NO_REPLY) -> None:
--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -84,6 +84,7 @@
             ListenEndpoint(parse_address(configuration.listen), sock),
         )
         self.router.freshness.table_size = self.budgets.object_parts
+        self.executed_requests.max_remembered = self.budgets.executed_requests
         self.upstream.reply_backlog.apply(self.budgets.answer_limits())
         self.downstream.reply_backlog = self.upstream.reply_backlog
         self.upstream.reply_backlog.on_shortage = lambda: self.loop.post(self._relieve_shortage)
--- a/lilacloft/gateway/reload.py
+++ b/lilacloft/gateway/reload.py
@@ -33,6 +33,7 @@
     gateway.upstream.reply_backlog.apply(new_budgets.answer_limits())
     gateway.downstream.request_ledger.budget = new_budgets.requests
     gateway.router.freshness.table_size = new_budgets.object_parts
+    gateway.executed_requests.max_remembered = new_budgets.executed_requests
     gateway.limits = config["limits"]
     if gateway.discovery_watch.move(changelog):
         gateway.router.discovery_begins()
--- a/lilacloft/gateway/reporting.py
+++ b/lilacloft/gateway/reporting.py
@@ -104,6 +104,7 @@
             "unwritten": sum(client.unsent_bytes() for client in list(gateway.downstream.clients)),
             "request_bytes": gateway.downstream.request_ledger.reserved,
             "answer_bytes": gateway.upstream.reply_backlog.size + gateway.upstream.reply_backlog.unsent,
+            "stale_ids": self._stale_ids(),
             "out": sum(attempt.client_request is not None for attempt in in_flight),
             "checks": sum(attempt.client_request is None for attempt in in_flight),
             "reqs": sum(len(backend.requests) for backend in backends),
@@ -111,6 +112,11 @@
             "limits": gateway.router.link_limit.in_flight + sum(limit.in_flight for limit in limits),
         }
 
+    def _stale_ids(self) -> int:
+        """Return how many ids are in progress of which no request is open."""
+        open_names = {client_request.name for client_request in self.gateway.open_requests.values()}
+        return len(self.gateway.executed_requests.in_progress.keys() - open_names)
+
     def _in_flight(self) -> list[Attempt]:
         """Return the attempts and health checks in flight on connections."""
         connections = [
--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -191,6 +191,7 @@
                 del gateway.open_requests[request]
                 gateway.downstream.requests_by_name.pop(client_request.name, None)
                 gateway.downstream.request_ledger.release(client_request)
+                gateway.executed_requests.end(client_request.name, request, execution=None)
         gateway.timers = [
             entry for entry in gateway.timers if entry[2] in (gateway.run_maintenance, gateway.heartbeat)
         ]
--- a/lilacloft/handover/state_restore.py
+++ b/lilacloft/handover/state_restore.py
@@ -225,6 +225,7 @@
         else:
             request.finished = True
         self.gateway.open_requests[request] = client_request
+        self.gateway.executed_requests.begin(client_request.name, request)
         return client_request
 
     def _restore_attempt(
--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -125,7 +125,7 @@
         self.emptied_at: Ticks = 0  # when all input had been read, by the monotonic clock; 0: unknown
         # when reading was paused, by the monotonic clock, for what may not all be read yet; 0: it was not
         self.paused_reading_at: Ticks = 0
-        # since when, by the monotonic clock, input may have been waiting unread without a break; 0: it is all read
+        # since when, by the monotonic clock, input may have been waiting without a break; 0: it is all read
         self.behind_since: Ticks = 0
         # `last_input_at` at the last check, and since when there is unread input
         self.unread_since = (0.0, 0)
--- a/lilacloft/net/resource_limits.py
+++ b/lilacloft/net/resource_limits.py
@@ -29,6 +29,7 @@
     clients: int  # client connections, including those that are closing
     caches: int  # connections to caches, parents and the origin
     object_parts: int  # object parts that are remembered
+    executed_requests: int  # ids of requests that may have been executed
 
     def answer_limits(self) -> AnswerLimits:
         """Return the limits of answers that this process holds."""
@@ -53,6 +54,7 @@
         shares.clients,
         shares.backends,
         shares.object_parts,
+        shares.executed_requests,
     )
 
 
--- a/lilacloft/routing/memory_budget.py
+++ b/lilacloft/routing/memory_budget.py
@@ -16,9 +16,12 @@
 BACKEND_SIZE = 22_000  # of a connection to a backend
 OBJECT_PART_SIZE = 500  # of an entry in the table of object parts
 MAX_OBJECT_PARTS = 1 << 15
+EXECUTED_REQUEST_SIZE = 300  # of an id in the table of executed requests
+MAX_EXECUTED_REQUESTS = 1 << 14
 MAX_CLIENTS_SHARE = 0.6  # of what is free
 MAX_BACKENDS_SHARE = 0.1
 OBJECT_PARTS_SHARE = 0.1
+EXECUTED_REQUESTS_SHARE = 0.03
 REQUESTS_SHARE = 0.4  # of what is left behind connections and object parts
 ANSWERS_SHARE = 0.4
 MAX_REQUESTS_SHARE = 0.25  # of the limit
@@ -39,6 +42,7 @@
     answers: int  # bytes of answers that are being read, not handled, or not read by their clients
     replies: int  # bytes of these that are being read or not handled
     object_parts: int  # entries
+    executed_requests: int  # ids
 
     @property
     def unread_answers(self) -> int:
@@ -48,9 +52,8 @@
     def total(self) -> int:
         """Return the memory of a process in which each quantity is at its maximum, in bytes."""
         connections = self.clients * CLIENT_SIZE + self.backends * BACKEND_SIZE
-        return (
-            PROCESS_SIZE + connections + self.requests + self.answers + self.object_parts * OBJECT_PART_SIZE
-        )
+        tables = self.object_parts * OBJECT_PART_SIZE + self.executed_requests * EXECUTED_REQUEST_SIZE
+        return PROCESS_SIZE + connections + tables + self.requests + self.answers
 
 
 def divide_memory(limit: int, max_clients: int, max_backends: int) -> MemoryShares:
@@ -60,8 +63,10 @@
     clients = max(1, min(max_clients, int(free * MAX_CLIENTS_SHARE) // CLIENT_SIZE))
     backends = max(1, min(max_backends, int(free * MAX_BACKENDS_SHARE) // BACKEND_SIZE))
     object_parts = max(1, min(MAX_OBJECT_PARTS, int(free * OBJECT_PARTS_SHARE) // OBJECT_PART_SIZE))
-    used = clients * CLIENT_SIZE + backends * BACKEND_SIZE + object_parts * OBJECT_PART_SIZE
-    left = max(0, free - used)
+    executed = min(MAX_EXECUTED_REQUESTS, int(free * EXECUTED_REQUESTS_SHARE) // EXECUTED_REQUEST_SIZE)
+    connections = clients * CLIENT_SIZE + backends * BACKEND_SIZE
+    tables = object_parts * OBJECT_PART_SIZE + executed * EXECUTED_REQUEST_SIZE
+    left = max(0, free - connections - tables)
     answers = min(int(limit * MAX_ANSWERS_SHARE), int(left * ANSWERS_SHARE))
     return MemoryShares(
         clients,
@@ -70,4 +75,5 @@
         answers,
         min(answers, int(limit * MAX_REPLIES_SHARE)),
         object_parts,
+        executed,
     )
