A keyed request is not repeated where another process may have taken its backend's address

Two faults, each forced with real sockets on the code before: - A cache's process ends and another comes up at its address before the change log tells. A keyed request whose attempt was reset is sent again to the same backend, as a reset excludes none: the new process gets the id and the key that it does not know, where keys are shared in a zone or cell only. 3 of 3 tests failed before. Now a backend whose connection ended during an attempt is excluded for keyed requests of such virtual hosts, and another backend of the zone or cell is asked; where there is none the request has failed. Where all backends share keys nothing changes. - A backend is listed at the address of one that is still listed: both got work, and what was meant for the old one reached the new process. Now the old one counts as gone, with a line in the log.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from lilacloft.clock_offset import ClockOffset, WatchContext
 from lilacloft.gateway.clock import TICKS_PER_MILLISECOND
 from lilacloft.gateway.configuration import parse_address
@@ -118,6 +120,7 @@
     def apply_endpoints(self, mode: str, rows: list[EndpointEntry]) -> None:
         """Apply an endpoint list, or changes to it, with start times in the gateway's own time."""
         gateway = self.gateway
+        rows = [*self._superseded(rows), *rows]
         endpoints, addresses = [], []
         for name, address, zone, kind, cell, status, capacity, started in rows:
             backend = gateway.backends.get(name)
@@ -138,6 +141,17 @@
                 gateway.upstream.add_backend(backend, address)
         self._drop_unlisted()
 
+    def _superseded(self, rows: list[EndpointEntry]) -> Iterator[EndpointEntry]:
+        """Yield rows that remove the listed backends at whose address another one is listed now: its process
+        has taken the place of theirs."""
+        gateway, listed = self.gateway, {row[0] for row in rows}
+        taken = {row[1] for row in rows if row[5]}
+        for name, backend in gateway.backends.items():
+            pool = gateway.upstream.pools.get(backend)
+            if backend.status and name not in listed and pool is not None and pool.address in taken:
+                logger.info("{} is gone: another backend is listed at its address", name)
+                yield (name, pool.address, backend.zone, backend.kind, backend.cell, 0, 1.0, backend.started)
+
     def _drop_unlisted(self) -> None:
         """Close connections to unlisted backends, and remove those backends that have nothing in flight."""
         gateway = self.gateway
--- a/lilacloft/routing/retries.py
+++ b/lilacloft/routing/retries.py
@@ -35,6 +35,8 @@
     Outcome.MALFORMED,
     Outcome.CANCELLED,
 )
+# Outcomes that may be due to the end of the backend's process.
+CONNECTION_ENDED = (Outcome.RESET, Outcome.MALFORMED)
 # Outcomes after which an attempt certainly did not trigger revalidation.
 NOT_REVALIDATED = (Outcome.UNSENT, Outcome.CONNECT_FAILED, Outcome.QUEUE_FULL, Outcome.CANCELLED)
 # Notes that blame the source of a fill, not the cache that was asked.
@@ -80,6 +82,7 @@
         vhost.idempotency is not Idempotency.KEYED
         or not _knows_key(vhost.idempotency_scope, request.first_executed_by, backend)
         or now >= window_ends_at
+        or _may_be_replaced(request, backend, vhost)
     ):
         return False
     limit_send_by(request, window_ends_at)
@@ -95,6 +98,12 @@
     return backend.zone == first.zone if scope is IdempotencyScope.ZONE else backend.cell == first.cell
 
 
+def _may_be_replaced(request: Request, backend: Backend, vhost: VirtualHost) -> bool:
+    """Return whether another process may have taken a backend's address since an attempt, and would not
+    recognize the idempotency key."""
+    return vhost.idempotency_scope is not IdempotencyScope.ALL and backend in request.failed_backends
+
+
 def may_reject(request: Request, vhost: VirtualHost) -> bool:
     """Return whether a client may be told that a retry is safe."""
     executed = request.in_flight or request.first_executed_at is not None
@@ -105,6 +114,17 @@
     )
 
 
+def record_disconnection(
+    request: Request, backend: Backend, vhost: VirtualHost, result: AttemptResult
+) -> None:
+    """Record that an attempt may have ended with its backend's process. A process that comes up at the same
+    address is listed only later, and may belong to another zone or cell: it recognizes no key of the first,
+    unless all backends share them."""
+    is_scoped = vhost.idempotency is Idempotency.KEYED and vhost.idempotency_scope is not IdempotencyScope.ALL
+    if is_scoped and result.outcome in CONNECTION_ENDED and backend not in request.failed_backends:
+        request.failed_backends.append(backend)
+
+
 def record_failure(request: Request, backend: Backend, source: Backend, result: AttemptResult) -> None:
     """Record a failed attempt: whether it may have been executed, and which backends are excluded from
     retries.
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -128,6 +128,7 @@
         if request.finished:
             return
         retries.record_failure(request, backend, source, result)
+        retries.record_disconnection(request, backend, self.virtual_hosts[request.vhost], result)
         self._route(request)
 
     def _learn_from_answer(self, request: Request, backend: Backend, result: AttemptResult) -> None:
