A gateway logs which limits bind while they do, at most every 5 s

Between 'read to its end' and the kill the logs of the incident say nothing: counters come at an ordinary end only. Now a line of resources (memory and limit, clients, bytes of requests and answers, what was refused, closed and turned away since the last such line, by reason) comes where a limit was reached, input was unusable, an event failed or memory is over 80% of the limit. A usual service logs none; nothing is logged per request. Both are tests on real processes, the first of a process that is killed.

--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -28,6 +28,7 @@
 from lilacloft.gateway.dispatcher import AttemptDispatcher
 from lilacloft.gateway.event_loop import Event, ScheduledCall
 from lilacloft.gateway.lifecycle import Lifecycle, Phase
+from lilacloft.gateway.pressure_log import PressureLog
 from lilacloft.gateway.reporting import Reporter
 from lilacloft.invariants import Invariants
 from lilacloft.log import logger
@@ -65,6 +66,7 @@
         self.budgets = read_budgets(self.limits)
         self.lifecycle = Lifecycle(self)
         self.reporter = Reporter(self)
+        self.pressure_log = PressureLog(self)
         self.answers = FinalAnswers(self)
         self.dispatcher = AttemptDispatcher(self, self.answers)
         self._connect_backends()
@@ -189,6 +191,7 @@
             self.budgets.unwritten,
             self.maintenance_interval / TICKS_PER_SECOND,
         )
+        self.pressure_log.check()
 
     def _relieve_shortage(self) -> None:
         """Close clients that hold the most unread answers, as there is no memory for others' answers."""
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -3,9 +3,14 @@
 Real processes at the least memory of the pages, started by the deploy file's `run` line (rigs/pressure.py).
 """
 
+import re
+import time
+
 import pytest
 
-from rigs.pressure import run_play
+from lilacloft.net.resp import MAX_WRITE_SIZE
+from rigs.pressure import KEY, request_message, run_play
+from rigs.stands import StandInClient, serves, silent
 
 LEAST_MEMORY = 32  # MB
 MEGABYTE = 1_000_000
@@ -41,3 +46,27 @@
     assert not result.ended, result.counters
     assert (result.usual["unanswered"], result.usual["late"]) == (0, 0)
     assert result.usual["served"] > 0.9 * result.usual["asked"]
+
+
+def test_a_process_that_is_killed_has_said_nothing_of_its_memory_and_refusals(world):
+    """Guards against a log that ends with the start: which limit was reached cannot be told from it."""
+    world = world(silent, memory_mb=LEAST_MEMORY)
+    clients = [StandInClient(world.port) for _ in range(40)]
+    for number, client in enumerate(clients):
+        client.sock.sendall(request_message(1, number, b"pay", bytes(MAX_WRITE_SIZE), replay=KEY))
+    time.sleep(5.5)
+    world.process.kill()
+    log = world.process.stderr.read()
+    (line, *more) = [line for line in log.splitlines() if "resources: " in line]
+    assert "of 32.0 MB; " in line and " clients; requests " in line and not more
+    assert int(re.search(r"no_memory_for_requests=(\d+)", line)[1]) > 10
+
+
+def test_a_usual_service_logs_nothing_of_its_resources(world):
+    world = world(serves())
+    client = world.asker()
+    for key in range(20):
+        client.ask(key=key)
+        assert client.answer()[1] == b"200"
+    time.sleep(5.5)
+    assert "resources: " not in world.stop()[1]
