--- a/lilacloft/gateway/pressure_log.py
+++ b/lilacloft/gateway/pressure_log.py
@@ -46,8 +46,8 @@
     def _log(self, changes: Mapping[str, int], memory: int, limit: int) -> None:
         downstream, answers = self.gateway.downstream, self.gateway.upstream.reply_backlog
         logger.warning(
-            "resources: {:.1f} of {:.1f} MB; {} of {} clients; requests {} of {} bytes; answers {} + {} unread"
-            " of {} bytes; since the last such line: {}",
+            "resources: {:.1f} of {:.1f} MB; {} of {} clients; requests {} of {} bytes; answers {} + {}"
+            " unread of {} bytes; since the last such line: {}",
             memory / MEGABYTE,
             limit / MEGABYTE,
             len(downstream.clients),
