--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -2,12 +2,16 @@
 
 import random
 import socket
+from pathlib import Path
 
 import pytest
 
+from lilacloft.net.client_connection import MAX_UNHANDLED_BYTES
 from lilacloft.net.reply_backlog import AnswerLimits, ReplyBacklog
+from lilacloft.net.request_trace import MAX_STEPS
 from lilacloft.net.resource_limits import budgets
-from lilacloft.net.resp import MAX_PART_SIZE, MAX_WRITE_SIZE
+from lilacloft.net.resp import MAX_FIELDS, MAX_PART_SIZE, MAX_WRITE_SIZE
+from lilacloft.net.write_backlog import MAX_PENDING_MESSAGES
 from lilacloft.routing.heap_compaction import MIN_SIZE, HeapCompaction
 from lilacloft.routing.memory_budget import PROCESS_SIZE, divide_memory
 from lilacloft.routing.request_memory import memory_of_request
@@ -93,3 +97,19 @@
     world.wait_until_idle()
     backlog = world.owner.upstream.reply_backlog
     assert (backlog.size, backlog.unsent) == (0, 0)
+
+
+@pytest.mark.parametrize("column, memory_mb, sockets", [(3, 32, 1024), (4, 32, 256), (5, 192, 1024)])
+def test_a_quantity_has_no_row_in_the_table_of_bounds(column, memory_mb, sockets):
+    """Guards against a budget that the page does not name, or names with another number."""
+    text = (Path(__file__).parent.parent / "docs" / "gateway.md").read_text()
+    rows = [
+        [cell.strip() for cell in line.strip("|").split("|")] for line in text.splitlines() if "`" in line
+    ]
+    stated = {row[2].strip("`"): row[column] for row in rows if len(row) == 8}
+    for name, bound in budgets({"sockets": sockets, "memory_mb": memory_mb}, sockets)._asdict().items():
+        assert stated[name] == str(bound), name
+    assert stated["MAX_UNHANDLED_BYTES"] == str(MAX_UNHANDLED_BYTES // memory_of_request(0))
+    assert stated["MAX_FIELDS"] == str(MAX_FIELDS)
+    assert stated["MAX_PENDING_MESSAGES"] == str(MAX_PENDING_MESSAGES)
+    assert stated["MAX_STEPS"] == str(MAX_STEPS)
