Of the readers whose clients send without a break two run at the same time

What callers saw: beside 40 clients that send FORGET at full speed 113 to 139 of 458 usual requests were refused, the slowest answer took 1.5 s; beside 100 that withdraw what they send and read nothing 205 to 217 were refused. Cause: each reader waits for its turn of the event loop, but between its turns all of them compete with the loop for the interpreter's lock, each for up to a switch interval. Change: a reader that has waited for the loop and has more input takes one of two slots for its next batch, and returns it before it waits or blocks. Readers that keep up take none, so usual requests are read as before.

--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -15,6 +15,7 @@
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.lag_histogram import GatewayLags
 from lilacloft.net.polling import poll_events
+from lilacloft.net.reader_slots import ReaderSlots
 from lilacloft.net.reply_backlog import ReplyBacklog
 from lilacloft.net.request_ledger import RequestLedger
 from lilacloft.net.resp import CLIENT_MESSAGE_SIZES, IDLE_CLIENT_BUFFER, MAX_PART_SIZE, MessageBuffer
@@ -74,6 +75,7 @@
     post: Callable[..., None]  # queues a call for the event loop's thread
     gateway: GatewaySide
     counts: dict[str, int]
+    reader_slots: ReaderSlots
     request_ledger: RequestLedger
     reply_backlog: ReplyBacklog
     requests_by_name: dict[str, ClientRequest]
@@ -125,6 +127,7 @@
         self.emptied_at: Ticks = 0  # when all input had been read, by the monotonic clock; 0: unknown
         # when reading was paused, by the monotonic clock, for what may not all be read yet; 0: it was not
         self.paused_reading_at: Ticks = 0
+        self.has_slot = False  # of `ReaderSlots`; used in the reading thread only
         # since when, by the monotonic clock, input may have been waiting without a break; 0: it is all read
         self.behind_since: Ticks = 0
         # `last_input_at` at the last check, and since when there is unread input
@@ -171,15 +174,21 @@
         return size
 
     def apply_backpressure(self) -> None:
-        """Stop reading while the client does not read, and while too much waits for the event loop."""
+        """Stop reading while the client does not read, while too much waits for the event loop, and while
+        other readers that have waited for it are at work."""
+        if self.has_slot and not self._has_more_input():
+            self.release_slot()  # the next read may block
         self._wait_until_client_reads()
         if self.unhandled_bytes > MAX_UNHANDLED_BYTES:
+            self.release_slot()
             self._wait_until_handled()
+            self._acquire_slot()
 
     def _wait_until_client_reads(self) -> None:
         """Wait while the client does not read its answers; report its half-close meanwhile."""
         reported = False
         while self.wait_for_backlog(MAX_PART_SIZE, POLL_INTERVAL):
+            self.release_slot()
             self.disconnected_since()
             if self.input_ended is not None and not reported:
                 reported = True  # at once: its requests are rejected before the rest of its input is read
@@ -198,6 +207,19 @@
         if not self._has_more_input():
             self.paused_reading_at = self.behind_since = 0
 
+    def _acquire_slot(self) -> None:
+        """Wait for a slot, if more input is waiting."""
+        if not self._has_more_input():
+            return
+        while self.close_reason is None and not self.has_slot:
+            self.has_slot = self.downstream.reader_slots.acquire(CLOSE_CHECK_INTERVAL)
+
+    def release_slot(self) -> None:
+        """Return the slot, if this reader has one. Called in the reading thread."""
+        if self.has_slot:
+            self.has_slot = False
+            self.downstream.reader_slots.release()
+
     def wait_for_answers(self, reason: CloseReason) -> None:
         """Wait for the answers to the requests that were read: the client may have closed only its half.
 
--- a/lilacloft/net/downstream.py
+++ b/lilacloft/net/downstream.py
@@ -25,6 +25,7 @@
 from lilacloft.net.connection import DRAIN_TIME, Connection
 from lilacloft.net.connection_state import ConnectionState
 from lilacloft.net.polling import poll_events
+from lilacloft.net.reader_slots import ReaderSlots
 from lilacloft.net.reply_backlog import ReplyBacklog
 from lilacloft.net.request_ledger import RequestLedger
 from lilacloft.net.resp import GarbledError, encode, encode_fields
@@ -90,6 +91,7 @@
         self.rejection_fields = retry_after_fields(limits.retry_after)
         self.request_ledger = RequestLedger(limits.max_request_bytes)
         self.reply_backlog = ReplyBacklog(sys.maxsize)  # replaced by that of the upstream side
+        self.reader_slots = ReaderSlots()
         self.requests_by_name: dict[str, ClientRequest] = {}  # open ones: readers add, the event loop removes
         self.vhosts = {vhost["name"].encode(): index for index, vhost in enumerate(vhosts)}
         self.vhosts_with_keys = {index for index, vhost in enumerate(vhosts) if vhost["effect"] == "uniqued"}
@@ -268,6 +270,7 @@
 
     def connection_closed(self, client: ClientConnection) -> None:
         """Handle the end of a connection: count it, and report its open requests."""
+        client.release_slot()
         self.clients.pop(client, None)
         self.draining.pop(client, None)
         self.request_ledger.release_body(client, client.take_body_reservation())
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -8,7 +8,9 @@
 
 import pytest
 
-from lilacloft.net.resp import MAX_WRITE_SIZE
+from lilacloft.net.reader_slots import MAX_BUSY_READERS
+from lilacloft.net.resp import MAX_WRITE_SIZE, encode
+from rigs.inprocess import closes, resets, until
 from rigs.pressure import KEY, request_message, run_play
 from rigs.stands import StandInClient, serves, silent
 
@@ -38,7 +40,17 @@
 
 
 @pytest.mark.parametrize(
-    "play", ["flood_alive", "flood_forget", "flood_withdrawn", "flood_new_names", "flood_unusable", "fields"]
+    "play",
+    [
+        "flood_alive",
+        "flood_forget",
+        "flood_withdrawn",
+        "flood_new_names",
+        "flood_unusable",
+        "floods_forget",
+        "floods_alive",
+        "fields",
+    ],
 )
 def test_usual_clients_wait_behind_one_that_sends_at_full_speed(play):
     """Guards against messages that cost the reader's time only, which the event loop then does not get."""
@@ -48,6 +60,26 @@
     assert result.usual["served"] > 0.9 * result.usual["asked"]
 
 
+@pytest.mark.parametrize("leaves", [closes, resets])
+def test_a_reader_that_has_ended_keeps_its_slot(in_process, leaves):
+    """Guards against slots that are lost: two of them, and no client that sends much is read any more."""
+    world = in_process(serves())
+    flood = encode(b"FORGET", b"7") * 2_000
+    for _ in range(6):
+        askers = [world.asker() for _ in range(6)]
+        for asker in askers:
+            asker.sock.sendall(flood)
+        for asker in askers:
+            leaves(asker)
+    last = world.asker()
+    last.sock.sendall(flood)
+    tag = last.ask()
+    assert last.answer()[:2] == [tag, b"200"]
+    last.sock.close()
+    until(lambda: not world.owner.downstream.clients)
+    until(lambda: world.owner.downstream.reader_slots.slots._value == MAX_BUSY_READERS)
+
+
 def test_a_process_that_is_killed_has_said_nothing_of_its_memory_and_refusals(world):
     """Guards against a log that ends with the start: which limit was reached cannot be told from it."""
     world = world(silent, memory_mb=LEAST_MEMORY)
