--- a/lilacloft/net/client_connection.py
+++ b/lilacloft/net/client_connection.py
@@ -176,7 +176,7 @@
     def apply_backpressure(self) -> None:
         """Stop reading while the client does not read, while too much waits for the event loop, and while
         other readers that have waited for it are at work."""
-        if self.has_slot and not self._has_more_input():
+        if self.has_slot and not poll_events(self.sock, select.POLLIN):
             self.release_slot()  # the next read may block
         self._wait_until_client_reads()
         if self.unhandled_bytes > MAX_UNHANDLED_BYTES:
@@ -209,7 +209,7 @@
 
     def _acquire_slot(self) -> None:
         """Wait for a slot, if more input is waiting."""
-        if not self._has_more_input():
+        if not poll_events(self.sock, select.POLLIN):
             return
         while self.close_reason is None and not self.has_slot:
             self.has_slot = self.downstream.reader_slots.acquire(CLOSE_CHECK_INTERVAL)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lilacloft.net.client_connection import MAX_UNHANDLED_BYTES
+from lilacloft.net.reader_slots import MAX_BUSY_READERS
 from lilacloft.net.reply_backlog import AnswerLimits, ReplyBacklog
 from lilacloft.net.request_trace import MAX_STEPS
 from lilacloft.net.resource_limits import budgets
@@ -110,6 +111,7 @@
     for name, bound in budgets({"sockets": sockets, "memory_mb": memory_mb}, sockets)._asdict().items():
         assert stated[name] == str(bound), name
     assert stated["MAX_UNHANDLED_BYTES"] == str(MAX_UNHANDLED_BYTES // memory_of_request(0))
+    assert stated["MAX_BUSY_READERS"] == str(MAX_BUSY_READERS)
     assert stated["MAX_FIELDS"] == str(MAX_FIELDS)
     assert stated["MAX_PENDING_MESSAGES"] == str(MAX_PENDING_MESSAGES)
     assert stated["MAX_STEPS"] == str(MAX_STEPS)
