--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -80,6 +80,22 @@
     until(lambda: world.owner.downstream.reader_slots.slots._value == MAX_BUSY_READERS)
 
 
+def test_a_reader_keeps_its_slot_while_its_client_stands_still_within_a_message(in_process):
+    """Guards against readers that hold all slots and block, while others that have fallen behind wait."""
+    world = in_process(serves())
+    flood = encode(b"FORGET", b"7") * 20_000
+    still = [world.asker() for _ in range(2 * MAX_BUSY_READERS)]
+    for asker in still:
+        asker.sock.sendall(flood + b"*3\r\n$4\r\nEX")
+    until(lambda: world.owner.downstream.counts["forgotten"] == len(still) * 20_000)
+    last = world.asker()
+    last.sock.sendall(flood)
+    began = time.monotonic()
+    tag = last.ask()
+    assert last.answer()[:2] == [tag, b"200"]
+    assert time.monotonic() - began < 1.5, "the others are closed 2.2 s after their last input"
+
+
 def test_a_process_that_is_killed_has_said_nothing_of_its_memory_and_refusals(world):
     """Guards against a log that ends with the start: which limit was reached cannot be told from it."""
     world = world(silent, memory_mb=LEAST_MEMORY)
