--- a/lilacloft/gateway/lifecycle.py
+++ b/lilacloft/gateway/lifecycle.py
@@ -74,7 +74,9 @@
         if self.phase is Phase.DRAINING:
             self._close_listener(is_busy)
         is_settled = self.phase is Phase.CLOSING and self._clients_are_closed(is_busy)
-        last_moment = self.shutdown_deadline + self.gateway.maintenance_interval // 2
+        # what is busy gets some time to write its answers; the rest is for the exit, before a kill could come
+        grace = self.gateway.maintenance_interval // 2 if is_busy else 0
+        last_moment = self.shutdown_deadline + grace
         if not is_settled and self.gateway.clock.time <= last_moment:
             return False
         self.gateway.downstream.stop_accepting()
