--- a/rigs/kernel_times.py
+++ b/rigs/kernel_times.py
@@ -80,7 +80,7 @@
             self.received_at = min(now, received_at)
         finally:
             view.release()
-        self.end += count
+        self.received(count)
         return count
 
 
--- a/tests/test_kernel_times.py
+++ b/tests/test_kernel_times.py
@@ -608,3 +608,22 @@
     had = {one["ref"]: one["at"] - one["late"] for one in entries if one["what"] == "answer"}
     assert len(sent) == 2 and sent.keys() == written.keys() == had.keys()
     assert all(sent[ref] <= written[ref] <= had[ref] for ref in sent)
+
+
+def test_a_timestamped_buffer_reads_large_elements_whole():
+    """Guards against a stand-in that counts the bytes of a large element twice and takes its connection for
+    malformed."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        writer = socket.create_connection(server.getsockname())
+        reader = server.accept()[0]
+    buffer, body = TimestampedBuffer(reader, (8, 20, 64, 48_000)), bytes(range(250)) * 190
+    sender = threading.Thread(target=writer.sendall, args=(encode(b"do", b"1", b"-", body) * 3,))
+    sender.start()
+    found = []
+    while len(found) < 3 and buffer.read_from(reader):
+        while (items := buffer.next_message()) is not None:
+            found.append(items)
+    sender.join()
+    assert found == [[b"do", b"1", b"-", body]] * 3
+    reader.close()
+    writer.close()
