Review: scripts exit with 2 wherever they cannot run, and after 110 s at the latest

Without the build a script exited with 127, and an error before its first step with 1, which says that the rule was broken.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,6 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=review PYTHONDONTWRITEBYTECODE=1 exec .venv/bin/python review/10/case.py
+export PYTHONPATH=review PYTHONDONTWRITEBYTECODE=1
+.venv/bin/python -c 'import stand.site' || exit 2
+exec .venv/bin/python review/10/case.py
--- a/review/stand/site.py
+++ b/review/stand/site.py
@@ -22,6 +22,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, UNUSABLE = 0, 1, 2
+MAX_SECONDS = 110  # of a case; after that it could not run
 S = 1_000_000_000
 PANLOR: dict[str, Any] = {  # of the operators' deployment panlor-depots
     "balancers": 3,
@@ -271,22 +272,32 @@
     def stop(number: int, _frame: object) -> None:
         raise SystemExit(UNUSABLE)
 
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
         signal.signal(number, stop)
+    signal.alarm(MAX_SECONDS)
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    site, code = Site(Path(file).resolve().parent, **options), UNUSABLE
+    site: Site | None = None
+    code = UNUSABLE
     try:
+        site = Site(Path(file).resolve().parent, **options)
         breaches = case(site, trouble)
         for breach in breaches:
             print(breach)
             site.record.write("case", "breach", text=breach)
         code = BROKEN if breaches else HELD
         print("rule broken" if breaches else "rule held")
+    except SystemExit:
+        print("ended before its end")
     except Exception:
         traceback.print_exc()
-        site.record.write("case", "failed", why=traceback.format_exc().replace("\n", " | "))
+        if site:
+            site.record.write("case", "failed", why=traceback.format_exc().replace("\n", " | "))
     finally:
-        site.record.write("case", "ends", code=code)
-        site.close()
+        signal.alarm(0)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)  # the processes are ended first
+        if site:
+            site.record.write("case", "ends", code=code)
+            site.close()
     sys.stdout.flush()
     os._exit(code)
