One refused connection to the change log lifts no limit of ages

Cause: Router.discovery_refused called CatchUp.end at the first refusal, 30 ms after the break. A refusal shows that nothing listens now, not what the log held; by LATER that counts as known 2 s after a break, 4 s after a stop or a move.

Change: CatchUp.refuse lifts the limit once the log has refused all connections for 4 s and the lifetime of purged copies, and never where copies live longer than 7 s. Any sign that a log may be there begins the time anew. A log line tells when the limit ends so.

Tests: two asked for the fault and are replaced by ones as strict (the limit must hold while connections are refused, end to the tick where no unread purge matters, and begin again with a log that is back): test_only_a_heartbeat_or_a_refused_connection_lifts_the_age_limit and test_no_old_copy_is_served_after_a_log_that_refused_connections_withholds_events.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -84,7 +84,8 @@
                 logger.info("change log: read to its end, event {}", gateway.discovery_watch.last)
                 router.discovery_caught_up()
             case WatchChange.REFUSED:
-                router.discovery_refused()
+                if router.discovery_refused():
+                    logger.warning("change log: absent for so long that the ages of copies are not limited")
 
     def apply_event(
         self, event: DiscoveryEvent, mode: str | None = None, feed_state: WatchStatus | None = None
--- a/lilacloft/routing/freshness.py
+++ b/lilacloft/routing/freshness.py
@@ -32,7 +32,7 @@
         self.purge_lifetime = purge_lifetime
         self.object_parts: dict[PartKey, ObjectPart] = {}  # least recently used first
         self.purges: dict[str | int, Ticks] = {}  # time of the last purge, by object key or group number
-        self.catch_up = CatchUp(purge_grace)
+        self.catch_up = CatchUp(purge_grace, purge_lifetime)
 
     def record_request(self, part_key: PartKey) -> ObjectPart:
         """Count a request for an object part and return its entry, now the most recently used one."""
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -209,9 +209,10 @@
         """Handle that the change log was read to its end, and all its events were reported."""
         self.freshness.catch_up.end()
 
-    def discovery_refused(self) -> None:
-        """Handle that a connection to the change log was refused: there is no log now."""
-        self.freshness.catch_up.end()
+    def discovery_refused(self) -> bool:
+        """Handle that a connection to the change log was refused: there is no log now. Return whether the
+        ages of copies are no longer limited, as it has been absent for long enough."""
+        return self.freshness.catch_up.refuse(self.host.now())
 
     # --- purges, health, time ---
 
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -13,12 +13,12 @@
 import pytest
 
 from lilacloft.net import discovery_watch
-from lilacloft.net.discovery_watch import WatchChange
+from lilacloft.net.discovery_watch import MAX_BACKOFF, WatchChange
 from lilacloft.net.resp import encode, parse_fields
-from lilacloft.routing.catch_up import CatchUp
+from lilacloft.routing.catch_up import MAX_KNOWN_DELAY, MAX_KNOWN_DELAY_ABSENT, CatchUp
 from rigs.inprocess import InProcessWorld, until
 from rigs.model import SEC, Model, settings
-from rigs.stands import Log, UpgradableWorld, made
+from rigs.stands import Log, UpgradableWorld, framed, made
 
 KEY = 5
 OLD, NEW = b"from before the purge", b"filled anew"
@@ -29,6 +29,7 @@
 FULL_AGE = 10.0  # seconds: fresh time plus grace time in these tests
 GRACE = 3_000  # ticks
 LIMIT = GRACE // 2
+LIFETIME = 6 * SEC  # of copies from before a purge
 
 
 class AgedCopies:
@@ -168,34 +169,58 @@
     other.close()
 
 
-def test_no_old_copy_is_served_after_a_log_that_refused_connections_withholds_events(in_process, monkeypatch):
-    """Ages are not limited while the log refuses connections, and are again once it accepts one."""
+def break_off_within(log, frame):
+    """Add an event to the change log, which breaks off in the middle of its frame and then refuses
+    connections."""
+    written = framed(*frame)
+    log.close()
+    log.frames.append(frame)
+    for sock in log.follow:
+        sock.sendall(written[: len(written) // 2])
+    log.break_off(reset=False)
+
+
+def test_no_old_copy_is_served_once_a_log_that_broke_off_within_a_purge_refuses_connections(in_process):
+    """Guards against a refused connection that counts as knowledge: what the log had to send is unread, also
+    once it is back and withholds its events."""
     copies = AgedCopies()
     world = in_process(copies)
-    asker, refusals, connect = world.asker(), [], socket.create_connection
+    asker = world.asker()
+    copies.born = time.monotonic() - PURGED_FOR  # becomes too old by itself only after the outage
+    assert fetch(asker) == OLD
+    break_off_within(world.log, purge(ago=0))
+    until(lambda: world.owner.router.freshness.catch_up.absent_since is not None)
+    assert_filled_anew(asker, STOPPED)
+    assert world.owner.discovery_watch.last == 1, "the purge was not read"
+    back = Log(world.log.frames, world.log.port)
+    back.hold()
+    world.log = back
+    assert back.since.get(timeout=5) == 1
+    world.run_on_owner(lambda: None)
+    assert fetch_while_held(world, back) == {NEW}
+    assert_only_purged_copies_are_limited(asker, copies)
 
-    def counting_connect(*where):
-        try:
-            return connect(*where)
-        except ConnectionRefusedError as refusal:
-            refusals.append(refusal)
-            raise
 
-    monkeypatch.setattr(socket, "create_connection", counting_connect)
+def test_a_log_that_is_absent_for_long_limits_ages_for_a_bounded_time(in_process):
+    """Guards against an outage of discovery throughout which all copies are filled anew."""
+    copies = AgedCopies()
+    world = in_process(copies, changes=lambda settings: settings["familyInfo"].update(purgeDoneNs=10**8))
+    asker, catch_up = world.asker(), world.owner.router.freshness.catch_up
+    copies.born = time.monotonic() - PURGED_FOR
     world.log.close()
     world.log.break_off()
-    until(lambda: len(refusals) > 1)
-    world.run_on_owner(lambda: None)  # until the first refusal is handled
-    assert fetch(asker) == OLD
-    assert copies.asked_ages[-1] == FULL_AGE, (
-        "purges that cannot be read now do not justify filling every copy again"
-    )
+    until(lambda: catch_up.unread_since is not None)
+    limited_at = time.monotonic()
+    assert_filled_anew(asker, MAX_KNOWN_DELAY / SEC)
+    until(lambda: fetch(asker) == OLD)
+    assert copies.asked_ages[-1] == FULL_AGE
+    assert time.monotonic() - limited_at < catch_up.required_absence / SEC + 2 * MAX_BACKOFF
     back = Log([purge()], world.log.port)
     back.hold()
     world.log = back
     assert back.since.get(timeout=5) == 1
     world.run_on_owner(lambda: None)
-    assert fetch_while_held(world, back) == {NEW}
+    assert fetch_while_held(world, back) == {NEW}, "limited anew once there is a log"
 
 
 def test_a_log_that_stands_still_limits_ages_until_it_was_read(withheld_log):
@@ -254,25 +279,49 @@
     assert_only_purged_copies_are_limited(asker, copies)
 
 
-def test_only_a_heartbeat_or_a_refused_connection_lifts_the_age_limit():
+INTERRUPTIONS = ("discovery_begins", "discovery_connected", "discovery_disconnected")
+
+
+@pytest.mark.parametrize("interruption", INTERRUPTIONS)
+def test_only_a_heartbeat_lifts_the_age_limit_of_a_log_that_is_there(interruption):
     """A connection alone proves nothing, and neither do time and further interruptions."""
     model = model_with_a_copy()
     catching_up = model.router.freshness.catch_up
-    for shown in (model.router.discovery_caught_up, model.router.discovery_refused):
-        for interrupted in (
-            model.router.discovery_begins,
-            model.router.discovery_connected,
-            model.router.discovery_disconnected,
-        ):
-            interrupted()
-            since = model.time
-            assert catching_up.max_age() == LIMIT and catching_up.unread_since == since
-            model.run(100 * SEC)
-            model.router.discovery_connected()
-            model.router.discovery_disconnected()
-            assert catching_up.max_age() == LIMIT and catching_up.unread_since == since
-            shown()
-            assert catching_up.max_age() == 0 and catching_up.unread_since is None
+    getattr(model.router, interruption)()
+    since = model.time
+    assert catching_up.max_age() == LIMIT and catching_up.unread_since == since
+    model.run(100 * SEC)
+    model.router.discovery_connected()
+    model.router.discovery_disconnected()
+    assert catching_up.max_age() == LIMIT and catching_up.unread_since == since
+    model.router.discovery_caught_up()
+    assert catching_up.max_age() == 0 and catching_up.unread_since is None
+
+
+@pytest.mark.parametrize("interruption", INTERRUPTIONS)
+def test_refused_connections_lift_the_age_limit_only_once_no_unread_purge_matters(interruption):
+    """Guards against a limit that one refusal ends, or several with a sign of a log between them."""
+    model = model_with_a_copy()
+    router, catching_up = model.router, model.router.freshness.catch_up
+    absent_for = MAX_KNOWN_DELAY + router.freshness.purge_lifetime
+    getattr(router, interruption)()
+    since = model.time
+    model.run(100 * SEC)
+    for _ in range(3):
+        assert not router.discovery_refused()
+        model.run(absent_for)
+        assert not router.discovery_refused()
+        assert catching_up.max_age() == LIMIT and catching_up.unread_since == since
+        model.run(1)
+        getattr(router, interruption)()
+    assert not router.discovery_refused()
+    model.run(absent_for + 1)
+    assert catching_up.max_age() == LIMIT, "time alone shows nothing"
+    assert router.discovery_refused()
+    assert catching_up.max_age() == 0 and catching_up.unread_since is None
+    assert not router.discovery_refused()
+    getattr(router, interruption)()
+    assert catching_up.max_age() == LIMIT
 
 
 def test_ages_are_not_limited_at_startup_once_the_log_has_shown_its_end(in_process):
@@ -459,7 +508,7 @@
 
 
 def test_without_a_grace_every_copy_is_filled_again():
-    catching_up = CatchUp(0)
+    catching_up = CatchUp(0, LIFETIME)
     catching_up.interrupt(0)
     assert catching_up.max_age() == 1
 
@@ -467,7 +516,7 @@
 @pytest.mark.parametrize("seed", range(60))
 def test_no_copy_older_than_an_unread_purge_beyond_the_grace_is_accepted(seed):
     """Ages are limited from an interruption until the log was read or is not there, and not after that."""
-    rng, catching_up, now = random.Random(seed), CatchUp(GRACE), 0
+    rng, catching_up, now = random.Random(seed), CatchUp(GRACE, LIFETIME), 0
     began_at, unread, checked = None, [], 0
     for _ in range(2_000):
         now += rng.randrange(1, 1_000)
@@ -489,3 +538,62 @@
         assert age > 0 and all(now - age > purged_at for purged_at in due)
         checked += bool(due)
     assert checked > 20
+
+
+class Outages:
+    """A change log that breaks off and comes back, and the purges that a gateway has not read, in their
+    simplest form."""
+
+    def __init__(self, rng):
+        self.rng, self.now, self.absent_since = rng, 0, None
+        self.unread = []  # when purges that were not read entered the log
+
+    def counts_as_known_at(self, purged_at):
+        """When a purge counts as known to a gateway that has not read it."""
+        if self.absent_since is None or purged_at <= self.absent_since:
+            return purged_at  # at once: earlier than the protocol says
+        if purged_at <= self.absent_since + MAX_KNOWN_DELAY:
+            return self.absent_since + MAX_KNOWN_DELAY
+        return purged_at + MAX_KNOWN_DELAY_ABSENT
+
+    def due(self, lifetime):
+        """The purges that no copy may be older than, and that one may be older than."""
+        return [
+            purged_at
+            for purged_at in self.unread
+            if self.now - self.counts_as_known_at(purged_at) > GRACE and self.now - purged_at <= lifetime
+        ]
+
+
+@pytest.mark.parametrize("lifetime", [2 * SEC, LIFETIME, MAX_KNOWN_DELAY_ABSENT + 1])
+@pytest.mark.parametrize("seed", range(20))
+def test_no_copy_older_than_an_unread_purge_is_accepted_in_outages(seed, lifetime):
+    """Guards against limits that end in an outage while a purge that counts as known was not read; where
+    copies live longer than the protocol's delay, none may end."""
+    rng, catching_up = random.Random(seed), CatchUp(GRACE, lifetime)
+    log, checked, refused_since, lifted = Outages(rng), 0, None, 0
+    for _ in range(4_000):
+        log.now += rng.randrange(1, SEC // 2)
+        event = rng.choice((*["purge"] * 8, *["refused"] * 24, "changes"))
+        if event == "purge":
+            log.unread.append(log.now)
+        elif event == "refused" and log.absent_since is not None:
+            refused_since = log.now if refused_since is None else refused_since
+            lifted += catching_up.refuse(log.now)
+        elif event == "changes" and log.absent_since is None:
+            log.absent_since = log.now
+            catching_up.interrupt(log.now)
+        elif event == "changes" and rng.random() < 0.3:
+            log.absent_since = refused_since = None
+            catching_up.interrupt(log.now)
+            if rng.random() < 0.5:
+                log.unread.clear()
+                catching_up.end()
+        log.unread = [purged_at for purged_at in log.unread if log.now - purged_at <= lifetime]
+        if log.absent_since is None and catching_up.unread_since is None:
+            log.unread.clear()  # read as they come
+        due, age = log.due(lifetime), catching_up.max_age()
+        assert not due or (age and all(log.now - age > purged_at for purged_at in due))
+        checked += bool(due)
+    assert checked > 100
+    assert bool(lifted) == (lifetime <= MAX_KNOWN_DELAY_ABSENT)
--- a/tests/test_read_barrier.py
+++ b/tests/test_read_barrier.py
@@ -25,6 +25,7 @@
 from tests.test_catch_up import (
     FULL_AGE,
     GRACE,
+    LIFETIME,
     LIMIT,
     NEW,
     OLD,
@@ -361,7 +362,7 @@
 
 
 def test_ages_are_limited_once_a_log_that_refused_connections_at_startup_is_back():
-    catching_up = CatchUp(GRACE)
+    catching_up = CatchUp(GRACE, LIFETIME)
     catching_up.interrupt(0)
     catching_up.end()
     assert catching_up.max_age() == 0
