A connect to the change log that times out limits ages again

Seen in the project's own suite: a log refuses connections until the limit of ages is lifted, comes back, and stands still with its accept queue full, so that connects time out. Copies older than a purge in it were served.

Cause: WatchChange had no report of a connection attempt that fails other than by a refusal, so nothing began the limit after it had been lifted, nor the time of absence anew.

Change: WatchChange.UNREACHABLE, which CatchUp takes as an interruption: there may be a log.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -80,6 +80,8 @@
                 router.discovery_connected()
             case WatchChange.DISCONNECTED:
                 router.discovery_disconnected()
+            case WatchChange.UNREACHABLE:
+                router.discovery_unreachable()
             case WatchChange.CAUGHT_UP:
                 logger.info("change log: read to its end, event {}", gateway.discovery_watch.last)
                 router.discovery_caught_up()
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -50,6 +50,7 @@
     DISCONNECTED = auto()  # the connection ended or was given up
     CAUGHT_UP = auto()  # all waiting events were passed on
     REFUSED = auto()  # a connection was refused: nothing listens there
+    UNREACHABLE = auto()  # a connection attempt failed otherwise: there may be a log
 
 
 class WatchTarget(NamedTuple):
@@ -183,9 +184,12 @@
     def _connect(self, target: WatchTarget) -> socket.socket:
         try:
             return socket.create_connection(target.address, CONNECT_TIMEOUT)
-        except ConnectionRefusedError:  # any other error leaves open whether there is a log
+        except ConnectionRefusedError:
             self._report(WatchChange.REFUSED, target)
             raise
+        except OSError:
+            self._report(WatchChange.UNREACHABLE, target)
+            raise
 
     def _report(self, change: WatchChange, target: WatchTarget) -> None:
         with self.gate:
--- a/lilacloft/routing/router.py
+++ b/lilacloft/routing/router.py
@@ -205,6 +205,11 @@
         """Handle the end of the connection to the change log."""
         self.freshness.catch_up.interrupt(self.host.now())
 
+    def discovery_unreachable(self) -> None:
+        """Handle that a connection to the change log could not be made, and was not refused: a log may be
+        there, and receive events."""
+        self.freshness.catch_up.interrupt(self.host.now())
+
     def discovery_caught_up(self) -> None:
         """Handle that the change log was read to its end, and all its events were reported."""
         self.freshness.catch_up.end()
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -4,6 +4,7 @@
 releases it, and the cache has a copy from before the purge, which it serves whenever the age limit allows it.
 """
 
+import contextlib
 import random
 import socket
 import struct
@@ -254,21 +255,29 @@
     assert_only_purged_copies_are_limited(asker, copies)
 
 
-def test_no_old_copy_is_served_while_the_accept_queue_of_a_log_that_stands_still_is_full(in_process):
-    """Guards against a time-out that counts as the absence of a log: connects to a log that stands still time
-    out once its accept queue is full."""
-    copies = AgedCopies()
-    world = in_process(copies)
-    asker, timed_out, connect = world.asker(), threading.Event(), socket.create_connection
+@contextlib.contextmanager
+def connects_time_out(port):
+    """Connects to a port of this machine time out meanwhile; yields an event that is set once one has."""
+    timed_out, connect = threading.Event(), socket.create_connection
 
     def times_out(*where):
-        if where[0] != ("127.0.0.1", world.log.port):
+        if where[0] != ("127.0.0.1", port):
             return connect(*where)
         timed_out.set()
         raise TimeoutError("timed out")
 
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(socket, "create_connection", times_out)
+        yield timed_out
+
+
+def test_no_old_copy_is_served_while_the_accept_queue_of_a_log_that_stands_still_is_full(in_process):
+    """Guards against a time-out that counts as the absence of a log: connects to a log that stands still time
+    out once its accept queue is full."""
+    copies = AgedCopies()
+    world = in_process(copies)
+    asker = world.asker()
+    with connects_time_out(world.log.port) as timed_out:
         world.log.frames.append(purge())
         world.log.break_off()
         assert timed_out.wait(5)
@@ -279,7 +288,23 @@
     assert_only_purged_copies_are_limited(asker, copies)
 
 
-INTERRUPTIONS = ("discovery_begins", "discovery_connected", "discovery_disconnected")
+def test_no_old_copy_is_served_once_connects_to_a_log_that_was_absent_time_out(in_process):
+    """Guards against a log that is back unnoticed: its accept queue is full, its purges cannot be read."""
+    copies = AgedCopies()
+    world = in_process(copies)
+    asker, catch_up = world.asker(), world.owner.router.freshness.catch_up
+    catch_up.required_absence = 0
+    world.log.close()
+    world.log.break_off()
+    until(lambda: fetch(asker) == OLD and copies.asked_ages[-1] == FULL_AGE, what=lambda: "absent for long")
+    with connects_time_out(world.log.port) as timed_out:
+        assert timed_out.wait(5)
+        until(lambda: catch_up.unread_since is not None)
+        assert_filled_anew(asker, HELD)
+    until(lambda: fetch(asker) == OLD, what=lambda: "absent again")
+
+
+INTERRUPTIONS = ("discovery_begins", "discovery_connected", "discovery_disconnected", "discovery_unreachable")
 
 
 @pytest.mark.parametrize("interruption", INTERRUPTIONS)
