Tests: two checks of purges that the limit of ages would hide

Two tests closed the change log and took a maximum age below 5 s as proof that a purge had been kept (over a handover, over a kill). While a log refuses connections ages are limited now, so both would pass with the purge lost. The log stays up in their place, without the event, and ages are looked at once it was read to its end: nothing but the purge limits them then.

test_a_purge_that_only_the_sender_got_holds_in_the_receiver did not force its premise either: it added the purge when the phase "ready" was told, a millisecond before the sender stopped reading, so that the sender, the receiver or nobody got it. It now waits until the sender applies the purge.

--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -93,9 +93,9 @@
     world = world(serves())
     world.log.add(2, 3, (9).to_bytes(8, "big") + int(time.time() * 1000).to_bytes(8, "big"))
     time.sleep(0.3)
-    world.log.close()  # so that the purge is not sent again
-    world.log.break_off()
+    world.log.frames.clear()  # so that the purge is not sent again
     world.kill_and_restart()
+    world.told("read to its end", 2)  # from then on nothing but the purge limits ages
     client = world.asker()
     client.ask(key=9)
     assert client.answer()[1] == b"200"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -19,10 +19,13 @@
 from lilacloft.handover.upgrade_listener import UpgradeListener
 from lilacloft.net.resp import encode_fields, parse_fields
 from rigs.crash import STEPS
+from rigs.inprocess import until
 from rigs.scene import write_worlds
 from rigs.stands import World, encode, record, serves, silent
 
 CLIP = bytes(range(256)) * 800
+FULL_AGE = 10_000  # milliseconds: fresh time plus grace time in these tests
+MAX_AGE_PURGED = 5_000  # milliseconds: tests go on for less than that after a purge
 # starting: shorter than the time after which the simulated change log counts as silent, as it sends nothing
 LIMITS = "(starting 3s) (warming 3s) (taking 1s) (committed 1s) (letting-go 4s)"
 
@@ -200,24 +203,23 @@
 
 
 def test_a_purge_that_only_the_sender_got_holds_in_the_receiver(world):
+    """Guards against a purge that is lost in a handover, as the log does not send it a second time."""
     world = world(serves())
     client = world.asker()
-    client.ask(key=9)
-    client.answer()
-    world.caches[0].next()
 
-    def purge(phase):
-        if phase.phase == "ready":
-            world.log.add(2, 3, (9).to_bytes(8, "big") + int(time.time() * 1000).to_bytes(8, "big"))
-            time.sleep(0.05)
-            world.log.close()  # no process gets the event a second time
-            world.log.break_off()
+    def fetched_within():
+        """The maximum age, in milliseconds, of a copy that a request accepts now."""
+        client.ask(key=9)
+        assert client.answer()[1] == b"200"
+        return int(parse_fields(world.caches[0].next()[2][2])["agelim"])
 
-    assert world.upgrade(seen=purge) == (True, "")
-    client.ask(key=9)
-    assert client.answer()[1] == b"200"
-    _, _, items = world.caches[0].next()
-    assert 0 < int(parse_fields(items[2])["agelim"]) < 5000
+    assert fetched_within() == FULL_AGE
+    world.log.add(2, 3, (9).to_bytes(8, "big") + int(time.time() * 1000).to_bytes(8, "big"))
+    until(lambda: 0 < fetched_within() < MAX_AGE_PURGED)
+    world.log.frames.clear()
+    assert world.upgrade() == (True, "")
+    assert "event 2" in world.told("read to its end", 2)  # from then on nothing but the purge limits ages
+    assert 0 < fetched_within() < MAX_AGE_PURGED
 
 
 def test_a_break_of_discovery_during_the_handover_loses_no_event(world):
