The old process of an upgrade follows the change log while it sends requests

A drain was missed as well.

Cause: quiescing closes the gate of the watch on the change log, and Quiescer.resume_all(accept=False) opened only the connections again. Counters 0.4 s after the purge: old process 0 events, new process 1; since, 1 and 1.

Change: in the mode drain the gate is opened with the connections. As two processes hear the same events then: the store keeps what comes while its successor writes, and writes it if the successor dies; records and counters of events are the successor's alone.

Tests: tests/test_draining_process.py with real processes. A purge, also with a successor that hangs, and a drain: 3 of 3 failed before. With the gate opened and nothing else, the store's (a successor that dies before it wrote) and the records' fail: 2 of 3.

--- a/lilacloft/handover/counters.py
+++ b/lilacloft/handover/counters.py
@@ -43,8 +43,9 @@
 
 
 def counted_since(gateway: Gateway, exported: GroupedCounts) -> GroupedCounts:
-    """Return by how much each counter has grown since the counters were exported."""
+    """Return by how much each counter has grown since the counters were exported; without those of discovery,
+    as the receiver has counted the same events itself."""
     return {
         group: {name: count - exported.get(group, {}).get(name, 0) for name, count in counts.items()}
-        for group, counts in export_counters(gateway).items()
+        for group, counts in _groups(gateway).items()
     }
--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -44,7 +44,8 @@
     def __init__(self, gateway: Gateway) -> None:
         self.gateway = gateway
         self.quiesced: dict[Connection, bool] = {}
-        self.is_accepting_paused = False  # are accepting connections and discovery paused?
+        self.is_accepting_paused = False
+        self.is_discovery_paused = False
         self.request_count_at_listing = 0  # request count when the object parts were listed
         self.transferred: list[Connection] = []  # remain quiesced unless the receiver fails
         self.requested_parts: list[PartKey] = []  # of open requests: may change after the export
@@ -92,8 +93,9 @@
         """
         gateway = self.gateway
         gateway.downstream.gate.acquire()
-        gateway.discovery_watch.gate.acquire()
         self.is_accepting_paused = True
+        gateway.discovery_watch.gate.acquire()
+        self.is_discovery_paused = True
         while True:
             self._pause_readers()
             self._end_unreadable_clients()
@@ -160,14 +162,24 @@
             self.quiesced[conn] = False
             conn.lock.release()
 
-    def resume_all(self, accept: bool = True) -> None:
-        """Resume all quiesced connections; `accept`: also resume accepting connections and discovery."""
+    def resume_all(self) -> None:
+        """Resume all quiesced connections, accepting and discovery."""
+        self.resume_discovery()
+        self.resume_connections()
+        if self.is_accepting_paused:
+            self.is_accepting_paused = False
+            self.gateway.downstream.gate.release()
+
+    def resume_connections(self) -> None:
+        """Resume all quiesced connections."""
         for conn in list(self.quiesced):
             self.resume_connection(conn)
-        if accept and self.is_accepting_paused:
-            self.is_accepting_paused = False
+
+    def resume_discovery(self) -> None:
+        """Follow the change log again."""
+        if self.is_discovery_paused:
+            self.is_discovery_paused = False
             self.gateway.discovery_watch.gate.release()
-            self.gateway.downstream.gate.release()
 
     # --- after the transfer ---
 
--- a/lilacloft/handover/sender.py
+++ b/lilacloft/handover/sender.py
@@ -263,7 +263,7 @@
                 frame = self._receive(MessageKind.SERVING, MessageKind.STORE_RECORDS_SYNCED)
             self.receiver_is_serving = True
             self.quiescer.discard_transferred_requests()
-            self.quiescer.resume_all(accept=False)
+            self.quiescer.resume_connections()
 
     def _check_drained(self, repeat: bool = True) -> None:
         """Transfer idle clients, and end this process once no request is open; else check again later."""
@@ -356,13 +356,17 @@
         self._report_gateway()
 
     def drain(self, mode: HandoverMode) -> None:
-        """Remove the transferred connections, and in DRAIN mode serve the remaining ones."""
+        """Remove the transferred connections, and in DRAIN mode serve the remaining ones.
+
+        Only then are requests sent here, which takes following the change log.
+        """
         self.quiescer.mark_transferred(self.connections)
         if self.gateway.store:
             self.gateway.store.delegate_writes(self._send_store_record)
         if mode == HandoverMode.DRAIN:
             self.gateway.router.set_standby(True)
-            self.quiescer.resume_all(accept=False)
+            self.quiescer.resume_discovery()
+            self.quiescer.resume_connections()
 
     def _send_store_record(self, ticket: int, kind: int, key: bytes, value: bytes | None) -> None:
         """Send a record of a request that is still open here to the receiver, which owns the store."""
--- a/lilacloft/record/recorder.py
+++ b/lilacloft/record/recorder.py
@@ -216,7 +216,10 @@
         self.note(record_types.Upgrade(phase=phase, reason=reason))
 
     def discovery_event(self, event: DiscoveryEvent, number: int) -> None:
-        """The gateway has applied an event of the change log."""
+        """The gateway has applied an event of the change log. Of a gateway that is replaced, only the new
+        process records it."""
+        if self.gateway.router.plan.standby:
+            return
         if event.kind == PURGE:
             key, group, purged_at = event.content
             ticks = purged_at * TICKS_PER_MILLISECOND
--- a/lilacloft/store/gateway_store.py
+++ b/lilacloft/store/gateway_store.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import os
 import time
 from collections.abc import Callable, Iterable, Mapping
@@ -94,6 +95,7 @@
         self.report_relayed: Callable[[int], None] | None = None  # called with its last durable ticket
         self.relay: Relay | None = None  # set while another process writes the store
         self.last_relay_ticket = 0
+        self.unwritten_events: list[Callable[[], None]] = []  # of the change log, received while relaying
         if inherited is None:
             restore_routing_state(gateway, self.endpoint_rows, recovered)
         else:
@@ -190,6 +192,9 @@
             self.committer.run_before_writing(self.directory.write_pid)
             if not self.background.is_scheduled():
                 self.background.write()
+        unwritten, self.unwritten_events = self.unwritten_events, []
+        for write in unwritten:  # the other process may not have received these events
+            write()
 
     def _catch_up(self) -> None:
         """Read what the other process has written. Runs in the writer thread, which owns the store."""
@@ -285,10 +290,16 @@
 
     def object_purged(self, key: str, group: int, purged_at: Ticks) -> None:
         """Handle the purge of an object, or of a purge group if the key is empty."""
+        if self.relay is not None:
+            self.unwritten_events.append(functools.partial(self.object_purged, key, group, purged_at))
+            return
         self.gate.object_purged(key or group, purged_at)
 
     def event_received(self, event: Any, number: int) -> None:
         """Handle an event of the change log after it was applied."""
+        if self.relay is not None:
+            self.unwritten_events.append(functools.partial(self.event_received, event, number))
+            return
         mode, payload = event
         if mode != "purge":
             for key, stored in self.endpoint_rows.apply(mode, payload, number).items():
--- /dev/null
+++ b/tests/test_draining_process.py
@@ -0,0 +1,169 @@
+"""What the old process of an upgrade hears of the change log while it finishes its requests.
+
+A client with an open request stays with the old process, which goes on reading its requests. The new process
+has its own connection to the change log.
+"""
+
+import contextlib
+import os
+import signal
+import threading
+import time
+
+import pytest
+
+from lilacloft.net.resp import encode, parse_fields
+from lilacloft.record import record_types
+from lilacloft.record.reader import read
+from rigs.inprocess import next_dispatch, until
+from rigs.scene import write_worlds
+from rigs.stands import record, silent
+
+LIMITS = "(starting 5s) (warming 5s) (taking 1s) (committed 1s) (letting-go 8s)"
+KEY = 9
+FULL_AGE = 10_000  # milliseconds: fresh time plus grace time in these tests
+HEED = 0.3 + 0.05  # seconds after a purge, and the slack on sockets
+DRAIN_GRACE = 1.0 + 0.05  # seconds after a drain, and the slack
+PURGE_NUMBER = 2
+
+
+@pytest.fixture
+def world(tmp_path):
+    with write_worlds(tmp_path, limits=LIMITS) as make:
+        yield make
+
+
+def purge_event():
+    """A frame that purges the object now."""
+    return PURGE_NUMBER, 3, KEY.to_bytes(8, "big") + int(time.time() * 1000).to_bytes(8, "big")
+
+
+class Draining:
+    """An upgrade in the mode DRAIN whose old process keeps one client, as a request of it stays open."""
+
+    def __init__(self, world):
+        self.world, self.client, self.results = world, world.asker(), []
+        self.upgrade = threading.Thread(target=self._upgrade, daemon=True)
+
+    def _upgrade(self):
+        self.results.append(self.world.upgrade(mode="drain"))
+
+    def begin(self):
+        self.kept = self._send(KEY)
+        self.upgrade.start()
+        self.world.told("upgrade: letting go")
+        self.world.told("read to its end", 2)  # by the new process
+
+    def _send(self, key):
+        """Send a request; return its tag, and the cache, connection and message of its attempt."""
+        tag = self.client.ask(key=key, allow=8000)
+        for _ in range(100):
+            for cache in self.world.caches:
+                if found := next_dispatch(cache, 0.02):
+                    return tag, cache, *found[1:]
+        raise AssertionError("no attempt was sent")
+
+    def _answer(self, tag, cache, sock, items):
+        """Answer an attempt, and check that the client gets the answer."""
+        sock.sendall(encode(items[1], b"data", b"remark=TCP_HIT", b"bytes"))
+        assert self.client.answer()[:2] == [tag, b"200"]
+
+    def ask(self, key=KEY):
+        """Have a request answered; return the maximum age in milliseconds that it accepts, and the cache."""
+        sent = self._send(key)
+        self._answer(*sent)
+        return int(parse_fields(sent[3][2])["agelim"]), sent[1]
+
+    def finish(self):
+        self._answer(*self.kept)
+        self.upgrade.join(20)
+        assert self.results == [(True, "")]
+
+
+@contextlib.contextmanager
+def stopped(pid):
+    """Stop a process, and let it go on in the end."""
+    os.kill(pid, signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(pid, signal.SIGCONT)
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+def test_a_purge_that_the_old_process_does_not_hear_while_it_finishes_its_requests(world, hangs):
+    """Guards against copies older than a purge, taken by a process that sends on without the change log; also
+    where its successor hangs."""
+    world = world(silent)
+    draining = Draining(world)
+    draining.begin()
+    with stopped(world.pids[-1]) if hangs else contextlib.nullcontext():
+        purged_at = time.monotonic()
+        world.log.add(*purge_event())
+        time.sleep(HEED)
+        assert 0 < draining.ask()[0] < 1000 * (time.monotonic() - purged_at)
+        assert draining.ask(KEY + 1)[0] == FULL_AGE, "only the purge limits ages"
+    draining.finish()
+
+
+def test_a_drain_that_the_old_process_does_not_hear_while_it_finishes_its_requests(world):
+    """Guards against requests to a cache that drains, from a process that sends on without the change log."""
+    world = world(silent, silent)
+    draining = Draining(world)
+    draining.begin()
+    first = draining.ask(KEY)[1]
+    number = world.caches.index(first) + 1
+    world.log.add(2, 2, record(number, first.port, state=1))
+    time.sleep(DRAIN_GRACE)
+    for key in range(KEY, KEY + 12):
+        assert draining.ask(key)[1] is not first
+    draining.finish()
+
+
+@pytest.mark.parametrize("heard_by_both", [False, True])
+def test_a_purge_heard_while_the_store_is_written_by_a_successor_that_dies_is_forgotten(world, heard_by_both):
+    """Guards against a store without the events that the old process has heard, and its successor perhaps not
+    written."""
+    forms = f'(store (folder "store") (patience 1s)) (upgrade (handover "h.sock") (limits {LIMITS}))'
+    world = world(silent, forms=forms)
+    draining = Draining(world)
+    draining.begin()
+    successor = world.pids[-1]
+    with contextlib.nullcontext() if heard_by_both else stopped(successor):
+        world.log.add(*purge_event())
+        until(lambda: draining.ask()[0] < FULL_AGE)
+        os.kill(successor, signal.SIGKILL)
+    world.told("upgrade: idle")
+    assert draining.ask()[0] < FULL_AGE
+    time.sleep(0.3)  # for the disk
+    world.log.frames.clear()  # so that the purge is not sent again
+    world.kill_and_restart()
+    assert "1 purges" in world.told("records recovered", 2)
+
+
+def test_events_heard_by_both_processes_of_an_upgrade_are_counted_and_recorded_twice(world, tmp_path):
+    """Guards against counters and records of two events where the gateway has received one."""
+    forms = f'(record (folder "records")) (upgrade (handover "h.sock") (limits {LIMITS}))'
+    world = world(silent, forms=forms)
+    draining = Draining(world)
+    draining.begin()
+    world.log.add(*purge_event())
+    until(lambda: draining.ask()[0] < FULL_AGE)
+    draining.finish()
+    os.kill(world.pids[-1], signal.SIGUSR1)
+    assert "connects=2 events=1" in world.told("log: connects")
+    os.kill(world.pids[-1], signal.SIGTERM)
+
+    def purges_by_run():
+        runs, damage = read([str(tmp_path / "records")])
+        assert not damage
+        return [
+            sum(isinstance(record, record_types.Purge) for record in run.records)
+            for mine in runs.values()
+            for run in mine
+            if isinstance(run.records[-1], record_types.Stop)
+        ]
+
+    until(lambda: len(purges_by_run()) == 2)
+    assert sorted(purges_by_run()) == [0, 1]
