After a pause of the watch, ages are limited until the change log was read again

Seen in the project's own suite, forced: a purge comes while a handover holds the gate of the watch on the change log (0.3 s and 0.3 s at most), and the requests that the process sends when it goes on take copies older than it, until the watch's thread has read what lies in its socket. So in the old process of an upgrade in the mode drain, and in one that serves again after a handover that failed.

Cause: Quiescer opened the gate and the connections, and nothing told the router that events may be unread.

Change: resume_discovery limits ages and has the watch connect anew (DiscoveryWatch.reconnect), so that the log shows its end on a connection of after the pause.

--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -176,9 +176,12 @@
             self.resume_connection(conn)
 
     def resume_discovery(self) -> None:
-        """Follow the change log again."""
+        """Follow the change log again. What it sent during the pause is not known before it was read; a
+        heartbeat that was read before does not show its end."""
         if self.is_discovery_paused:
             self.is_discovery_paused = False
+            self.gateway.router.discovery_begins()
+            self.gateway.discovery_watch.reconnect()
             self.gateway.discovery_watch.gate.release()
 
     # --- after the transfer ---
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -57,7 +57,7 @@
     """Which change log is followed."""
 
     address: Address
-    move: int  # how often the watch was moved before; an address may be used again
+    move: int  # how often the watch was moved or reconnected before; an address may be used again
 
 
 ChangeHandler: TypeAlias = Callable[[WatchChange, WatchTarget], None]  # with a change, and of which log
@@ -90,7 +90,7 @@
         self.connects = self.events = 0  # connections established, events passed on
         self.unanswered = 0  # connections in a row on which nothing was received
         self.status = WatchStatus(time.monotonic_ns() // NS_PER_TICK, current=False)
-        self.address_changed = threading.Event()
+        self.target_changed = threading.Event()
         self.gate = threading.Lock()  # held while something is passed on; acquired by others to pause that
         self.sock: socket.socket | None = None
 
@@ -103,19 +103,27 @@
         thread. Return whether the address has changed."""
         if address == self.target.address:
             return False
+        self._follow_anew(address)
+        return True
+
+    def reconnect(self) -> None:
+        """Follow the same log on a new connection, on which it shows its end again; called in the event
+        loop's thread. What is still reported about the old connection has the old target."""
+        self._follow_anew(self.target.address)
+
+    def _follow_anew(self, address: Address) -> None:
         self.target = WatchTarget(address, self.target.move + 1)
-        self.address_changed.set()
+        self.target_changed.set()
         sock = self.sock
         if sock is not None:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)  # wakes the thread: the old connection is not used any more
-        return True
 
     def _run(self) -> None:
         backoff, is_logged = MIN_BACKOFF, False
         while True:
             connects = self.connects
-            self.address_changed.clear()
+            self.target_changed.clear()
             try:
                 self._follow()
             except (OSError, GarbledError) as error:
@@ -124,14 +132,16 @@
             except Exception:
                 logger.exception("change log: unhandled exception in the watch's thread")
             # after an established connection, reconnect soon: without one the endpoint list becomes outdated
-            reconnects = self.connects > connects or self.address_changed.is_set()
+            reconnects = self.connects > connects or self.target_changed.is_set()
             backoff = MIN_BACKOFF if reconnects else min(2 * backoff, MAX_BACKOFF)
-            self.address_changed.wait(backoff * (0.75 + self._jitter() / 4))
+            self.target_changed.wait(backoff * (0.75 + self._jitter() / 4))
 
     def _log_end(self, error: Exception, is_first: bool) -> None:
         """Log why a connection ended; of consecutive failures to connect, only the first is logged."""
-        if self.address_changed.is_set():
-            logger.info("change log: moved to another address after event {}", self.last)
+        if self.target_changed.is_set():
+            is_moved = self.attempted_target and self.attempted_target.address != self.target.address
+            change = "moved to another address" if is_moved else "followed on a new connection"
+            logger.info("change log: {} after event {}", change, self.last)
         elif is_first:
             logger.warning("change log: {} after event {}", error, self.last)
 
@@ -143,7 +153,7 @@
             self.unanswered = 0
         with self._connect(target) as sock:
             self.sock = sock
-            if self.address_changed.is_set():  # meanwhile: `target` may be the old address
+            if self.target_changed.is_set():  # meanwhile: `target` may be the old address
                 return
             self._report(WatchChange.CONNECTED, target)
             try:
@@ -166,7 +176,7 @@
         try:
             while True:
                 self.sock = sock
-                if self.address_changed.is_set():  # `move` may have shut down another connection
+                if self.target_changed.is_set():  # `move` may have shut down another connection
                     return
                 self._receive(sock, target, deadline)
                 self.unanswered = 0
--- a/tests/test_draining_process.py
+++ b/tests/test_draining_process.py
@@ -1,4 +1,5 @@
-"""What the old process of an upgrade hears of the change log while it finishes its requests.
+"""What the old process of an upgrade hears of the change log while it finishes its requests, and after a
+handover that has failed.
 
 A client with an open request stays with the old process, which goes on reading its requests. The new process
 has its own connection to the change log.
@@ -12,12 +13,23 @@
 
 import pytest
 
+from lilacloft.handover.quiesce import Quiescer
+from lilacloft.net.connection import Connection
+from lilacloft.net.discovery_watch import DiscoveryWatch
 from lilacloft.net.resp import encode, parse_fields
 from lilacloft.record import record_types
 from lilacloft.record.reader import read
 from rigs.inprocess import next_dispatch, until
 from rigs.scene import write_worlds
 from rigs.stands import record, silent
+from tests.test_catch_up import (
+    OLD,
+    AgedCopies,
+    assert_filled_anew,
+    assert_only_purged_copies_are_limited,
+    fetch,
+    purge,
+)
 
 LIMITS = "(starting 5s) (warming 5s) (taking 1s) (committed 1s) (letting-go 8s)"
 KEY = 9
@@ -167,3 +179,41 @@
 
     until(lambda: len(purges_by_run()) == 2)
     assert sorted(purges_by_run()) == [0, 1]
+
+
+@pytest.fixture
+def late_watch(monkeypatch):
+    """The threads of watches apply no event until the returned event is set."""
+    released, handle_event = threading.Event(), DiscoveryWatch._handle_event
+
+    def late(watch, event, number):
+        assert released.wait(10)
+        handle_event(watch, event, number)
+
+    monkeypatch.setattr(DiscoveryWatch, "_handle_event", late)
+    yield released
+    released.set()
+
+
+@pytest.mark.parametrize("beats", [False, True])
+def test_a_purge_that_came_during_a_handover_is_unread_when_requests_are_sent_again(
+    in_process, monkeypatch, late_watch, beats
+):
+    """Guards against copies older than a purge, taken before the watch has read what came in its pause; also
+    where a heartbeat from before the purge is read first."""
+    monkeypatch.setattr(Connection, "movable", True)
+    copies = AgedCopies()
+    world = in_process(copies)
+    asker, quiescer = world.asker(), Quiescer(world.owner)
+    assert fetch(asker) == OLD
+    assert world.run_on_owner(lambda: quiescer.quiesce(time.monotonic() + 4, lambda: True)) == ""
+    if beats:
+        world.log.add(0, 0, b"")
+        time.sleep(0.05)  # more than enough for the watch to read it
+    world.log.add(*purge())
+    world.run_on_owner(quiescer.resume_all)
+    assert_filled_anew(asker, 0.3)
+    late_watch.set()
+    until(lambda: world.owner.discovery_watch.last == 2 and world.owner.discovery_watch.status.current)
+    world.run_on_owner(lambda: None)
+    assert_only_purged_copies_are_limited(asker, copies)
