A new configuration reaches both processes of an upgrade

Seen in the project's own suite: while the old process of an upgrade (mode drain) finishes its requests, a new configuration moves the change log, and SIGHUP goes to the program that was started.

Cause: reload returned once it had forwarded SIGHUP to the new process, and the supervisor sends it to the worker that is the gateway alone.

Change: reload forwards and applies; WorkerWatchdog sends HUP to workers that were replaced and have not exited.

--- a/lilacloft/gateway/reload.py
+++ b/lilacloft/gateway/reload.py
@@ -16,9 +16,10 @@
     invalid.
 
     Changes of `listen` and `settings` take effect only after a restart, which is logged; `name` and `known`
-    are used only at startup."""
-    if gateway.upgrade and gateway.upgrade.forward_reload():
-        return
+    are used only at startup. During an upgrade the configuration is for both processes: the old one follows
+    the change log while it finishes its requests."""
+    if gateway.upgrade:
+        gateway.upgrade.forward_reload()
     try:
         settings_validation.check_configuration(config)
         changelog = parse_address(config["changelog"])
--- a/lilacloft/handover/sender.py
+++ b/lilacloft/handover/sender.py
@@ -295,13 +295,13 @@
             self.state_machine.stop_requested()
         return self._forward(MessageKind.STOP)
 
-    def forward_reload(self) -> bool:
-        """Handle SIGHUP; returns whether it was forwarded because the receiver is the gateway.
+    def forward_reload(self) -> None:
+        """Handle SIGHUP: forward it if the receiver is the gateway.
 
         If it comes before the state is sent, the receiver reads the configuration again once it serves.
         """
         self.was_reloaded = True
-        return self._forward(MessageKind.RELOAD)
+        self._forward(MessageKind.RELOAD)
 
     def _forward(self, kind: MessageKind) -> bool:
         if self.state_machine.phase not in (Phase.DRAINING, Phase.DONE):
--- a/lilacloft/handover/watchdog.py
+++ b/lilacloft/handover/watchdog.py
@@ -51,6 +51,7 @@
         self.is_stopping = False
         self.has_exited = False
         self.stopped_workers: set[int] = set()  # workers that were sent SIGTERM
+        self.replaced_workers: set[int] = set()  # that have not exited: they may be finishing requests
 
     def start_first_worker(self) -> None:
         """Start the first worker."""
@@ -62,6 +63,9 @@
         if pid != self.gateway or not self.is_serving:
             after = f" after {self.gateway}" if self.gateway not in (0, pid) else ""
             self.actions.log(f"worker {pid} is the gateway{after}")
+        if self.gateway and self.is_serving:
+            self.replaced_workers.add(self.gateway)
+        self.replaced_workers.discard(pid)
         self.gateway = pid
         self.gateway_since = self.actions.now()
         self.has_served = self.is_serving = True
@@ -75,6 +79,7 @@
 
         Only the exit of the gateway matters: other processes were replaced, or never became the gateway.
         """
+        self.replaced_workers.discard(pid)
         if pid != self.gateway or self.has_exited:
             return
         self.gateway = 0
@@ -100,6 +105,9 @@
             if not self.gateway:
                 return self._exit(0)
             return self._stop_worker()
+        if name == "HUP":  # a replaced worker follows the change log until it exits
+            for pid in sorted(self.replaced_workers):
+                self.actions.send_signal(pid, name)
         if self.gateway:
             self.actions.send_signal(self.gateway, name)
         return None
--- a/tests/test_draining_process.py
+++ b/tests/test_draining_process.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import json
 import os
 import signal
 import threading
@@ -21,7 +22,7 @@
 from lilacloft.record.reader import read
 from rigs.inprocess import next_dispatch, until
 from rigs.scene import write_worlds
-from rigs.stands import record, silent
+from rigs.stands import Log, record, silent
 from tests.test_catch_up import (
     OLD,
     AgedCopies,
@@ -133,6 +134,26 @@
     draining.finish()
 
 
+@pytest.mark.parametrize("words", [(), ("--supervised",)])
+def test_the_old_process_does_not_hear_that_the_change_log_has_moved(world, words):
+    """Guards against requests to a cache that drains, from a process that follows a change log which was
+    replaced; SIGHUP goes to the program that was started."""
+    world = world(silent, silent, words=words)
+    draining = Draining(world)
+    draining.begin()
+    first = draining.ask(KEY)[1]
+    number = world.caches.index(first) + 1
+    moved = Log([(2, 2, record(number, first.port, state=1))])
+    world.path.write_text(json.dumps({**world.config, "changelog": f"127.0.0.1:{moved.port}"}))
+    os.kill(world.process.pid, signal.SIGHUP)
+    world.told("change log: moved to another address", 2, wait=4)  # by the pages, 4 s after SIGHUP
+    time.sleep(DRAIN_GRACE)
+    for key in range(KEY, KEY + 12):
+        assert draining.ask(key)[1] is not first
+    draining.finish()
+    moved.close()
+
+
 @pytest.mark.parametrize("heard_by_both", [False, True])
 def test_a_purge_heard_while_the_store_is_written_by_a_successor_that_dies_is_forgotten(world, heard_by_both):
     """Guards against a store without the events that the old process has heard, and its successor perhaps not
--- a/tests/test_handover_phases.py
+++ b/tests/test_handover_phases.py
@@ -423,6 +423,23 @@
     assert actions.code == 0
 
 
+def test_a_replaced_worker_that_still_sends_is_not_told_of_a_new_configuration():
+    """Guards against a worker that follows a change log which was replaced while it finishes its requests."""
+    watchdog, actions = started_watchdog()
+    watchdog.worker_serving(101)
+    watchdog.worker_serving(555)
+    watchdog.worker_serving(666)
+    watchdog.worker_exited(555, 0)
+    watchdog.signal_received("HUP")
+    watchdog.signal_received("USR1")
+    assert actions.signals == [(101, "HUP"), (666, "HUP"), (666, "USR1")]
+    actions.signals.clear()
+    watchdog.worker_exited(666, -9)
+    watchdog.worker_serving(101)  # it serves again, as its successor has died
+    watchdog.signal_received("HUP")
+    assert actions.signals == [(101, "HUP")]
+
+
 def test_a_stable_worker_is_restarted_at_once_and_one_that_never_serves_with_backoff():
     watchdog, actions = started_watchdog()
     watchdog.worker_serving(101)
