The old process of an upgrade sends no attempt that has gone over to the new one

Seen in the project's own suite, forced: in the mode whole a request that waits for a connection to its cache goes over and is sent by the new process, and the old one sends it as well once its own connection comes up, with the age accepted before the handover. Two dispatches of one request, the second by a process that hears of no purge.

Cause: discard_transferred_requests forgot the requests and left their attempts in the backlogs of connections that cannot be handed over, which go on right after it.

Change: such attempts are abandoned while their connections are paused, and expire in the backlog.

--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -207,6 +207,11 @@
                 gateway.downstream.requests_by_name.pop(client_request.name, None)
                 gateway.downstream.request_ledger.release(client_request)
                 gateway.executed_requests.end(client_request.name, request, execution=None)
+                attempt = client_request.attempt
+                is_here = attempt is not None and attempt.connection is not None
+                if is_here and attempt.connection not in transferred:
+                    request.finished = True  # the receiver sends it
+                    attempt.abandon()
         gateway.timers = [
             entry for entry in gateway.timers if entry[2] in (gateway.run_maintenance, gateway.heartbeat)
         ]
--- a/lilacloft/net/attempt.py
+++ b/lilacloft/net/attempt.py
@@ -14,6 +14,7 @@
 from lilacloft.routing.retries import last_send_time
 from lilacloft.routing.units import TICKS_PER_MILLISECOND, Ticks
 
+ALREADY_PASSED: Ticks = 1  # a time in the past; 0 stands for none
 TIME_LIMIT_MAX_AGE = 10  # ticks after which the time limit in an encoded dispatch is updated
 
 
@@ -76,6 +77,10 @@
             drained,
         )
 
+    def abandon(self) -> None:
+        """Forbid to send it, as another process does. Called while its connection is paused."""
+        self.send_by = ALREADY_PASSED
+
     def expired(self) -> bool:
         """Return whether it must not be sent: its deadline has passed, or its client may have disconnected.
 
--- a/tests/test_state_transfer.py
+++ b/tests/test_state_transfer.py
@@ -2,11 +2,14 @@
 
 import copy
 import random
+import time
 
 import msgspec
 import pytest
 
 from lilacloft.handover import framing, messages
+from lilacloft.handover.quiesce import Quiescer
+from lilacloft.handover.state_export import export_gateway
 from lilacloft.net.connection import Connection
 from lilacloft.routing import snapshot
 from lilacloft.routing.concurrency import AdaptiveLimit
@@ -15,7 +18,7 @@
 from lilacloft.routing.router import Router
 from lilacloft.routing.snapshot import export_state, restore_state
 from lilacloft.routing.virtual_host import VirtualHost
-from rigs.inprocess import limits, restored_successor, until
+from rigs.inprocess import limits, next_dispatch, restored_successor, until
 from rigs.model import SEC, Model, settings, vhost
 from rigs.stands import silent
 
@@ -299,3 +302,27 @@
         assert window and sent.window_over == restorer.gateway.to_monotonic(
             client_request.request.first_executed_at + window
         )
+
+
+def test_an_attempt_that_waits_for_a_connection_is_sent_by_both_processes(in_process, monkeypatch, late):
+    """Guards against two dispatches of one request: the successor sends it, and so does the old process once
+    its own connection comes up before it exits."""
+    monkeypatch.setattr(Connection, "movable", True)
+    world = in_process(silent)
+    world.asker().ask()
+    assert late.begun.acquire(timeout=5)
+    quiescer = Quiescer(world.owner)
+
+    def hand_over():
+        assert quiescer.quiesce(time.monotonic() + 4, lambda: True) == ""
+        exported = export_gateway(world.owner, "whole", [])
+        quiescer.mark_transferred(exported.connections)
+        quiescer.discard_transferred_requests()
+        quiescer.resume_connections()
+        return exported.state
+
+    state = world.run_on_owner(hand_over)
+    assert len(state.attempts) == 1 and state.attempts[0].connection is None, "the successor sends it"
+    late.set()
+    assert next_dispatch(world.caches[0], 0.5) is None
+    assert world.owner.counters.answers["faults"] == 0
