Tests: of a draining process, nothing but the log's events limits ages when they look

Draining.begin waited until one of the two processes had read the log to its end. The other could still limit ages by itself, and an age below the full one then passed for a purge that was heard. It now waits for both. The event and the figures are those of test_catch_up in place of copies.

--- a/tests/test_draining_process.py
+++ b/tests/test_draining_process.py
@@ -24,6 +24,8 @@
 from rigs.scene import write_worlds
 from rigs.stands import Log, record, silent
 from tests.test_catch_up import (
+    FULL_AGE,
+    KEY,
     OLD,
     AgedCopies,
     assert_filled_anew,
@@ -33,11 +35,8 @@
 )
 
 LIMITS = "(starting 5s) (warming 5s) (taking 1s) (committed 1s) (letting-go 8s)"
-KEY = 9
-FULL_AGE = 10_000  # milliseconds: fresh time plus grace time in these tests
 HEED = 0.3 + 0.05  # seconds after a purge, and the slack on sockets
 DRAIN_GRACE = 1.0 + 0.05  # seconds after a drain, and the slack
-PURGE_NUMBER = 2
 
 
 @pytest.fixture
@@ -46,11 +45,6 @@
         yield make
 
 
-def purge_event():
-    """A frame that purges the object now."""
-    return PURGE_NUMBER, 3, KEY.to_bytes(8, "big") + int(time.time() * 1000).to_bytes(8, "big")
-
-
 class Draining:
     """An upgrade in the mode DRAIN whose old process keeps one client, as a request of it stays open."""
 
@@ -65,7 +59,8 @@
         self.kept = self._send(KEY)
         self.upgrade.start()
         self.world.told("upgrade: letting go")
-        self.world.told("read to its end", 2)  # by the new process
+        # at the start, and by both processes: from then on only what the log tells limits ages
+        self.world.told("read to its end", 3)
 
     def _send(self, key):
         """Send a request; return its tag, and the cache, connection and message of its attempt."""
@@ -82,10 +77,10 @@
         assert self.client.answer()[:2] == [tag, b"200"]
 
     def ask(self, key=KEY):
-        """Have a request answered; return the maximum age in milliseconds that it accepts, and the cache."""
+        """Have a request answered; return the maximum age in seconds that it accepts, and the cache."""
         sent = self._send(key)
         self._answer(*sent)
-        return int(parse_fields(sent[3][2])["agelim"]), sent[1]
+        return int(parse_fields(sent[3][2])["agelim"]) / 1000, sent[1]
 
     def finish(self):
         self._answer(*self.kept)
@@ -113,9 +108,9 @@
     draining.begin()
     with stopped(world.pids[-1]) if hangs else contextlib.nullcontext():
         purged_at = time.monotonic()
-        world.log.add(*purge_event())
+        world.log.add(*purge(ago=0))
         time.sleep(HEED)
-        assert 0 < draining.ask()[0] < 1000 * (time.monotonic() - purged_at)
+        assert 0 < draining.ask()[0] < time.monotonic() - purged_at
         assert draining.ask(KEY + 1)[0] == FULL_AGE, "only the purge limits ages"
     draining.finish()
 
@@ -164,7 +159,7 @@
     draining.begin()
     successor = world.pids[-1]
     with contextlib.nullcontext() if heard_by_both else stopped(successor):
-        world.log.add(*purge_event())
+        world.log.add(*purge(ago=0))
         until(lambda: draining.ask()[0] < FULL_AGE)
         os.kill(successor, signal.SIGKILL)
     world.told("upgrade: idle")
@@ -181,7 +176,7 @@
     world = world(silent, forms=forms)
     draining = Draining(world)
     draining.begin()
-    world.log.add(*purge_event())
+    world.log.add(*purge(ago=0))
     until(lambda: draining.ask()[0] < FULL_AGE)
     draining.finish()
     os.kill(world.pids[-1], signal.SIGUSR1)
