A start takes no stored event number or row for one of its own life

Cause: events are numbered from 1 in each life of a gateway. EndpointRows.starting_point compared the stored number with the configuration's as if both were of one count, read the change log on from the higher one, and applied stored rows with higher numbers over the newer list; Discovery passed over lists up to the stored number. Whether a start continues a life (a crash, the same file) or begins one shows by nothing: address, seed and numbers may be the same.

Change: nothing is built on that any more. The log is read on from the configuration's event or an earlier one. Stored rows that the configuration may lack restrict its list (the less usable of both, in place, state, start and capacity) until the log was read to its end; from then on only the reported list counts, and rows that contradict it leave the store. So a stored drain holds from the first request on with the log away, and never for good. An event that is read again only restricts a stored row until then, so that a second crash forgets nothing. Numbers are compared only where either answer is safe. An upgrade is refused meanwhile, as a successor would not learn when the restrictions end. A store's work of slow starts waits for backends that are listed later.

What a store no longer does: list a cache that joined after the configuration, while the log cannot be read. That is indistinguishable from a cache that a newer list has removed.

The stored form test asks for what a store says instead of events to apply.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -6,16 +6,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from lilacloft.clock_offset import ClockOffset, WatchContext
 from lilacloft.gateway.clock import TICKS_PER_MILLISECOND
 from lilacloft.gateway.configuration import parse_address
 from lilacloft.gateway.context import GatewayContext
 from lilacloft.log import logger
-from lilacloft.net.discovery_events import DiscoveryEvent, EndpointEntry
+from lilacloft.net.discovery_events import DiscoveryEvent
 from lilacloft.net.discovery_watch import DiscoveryWatch, WatchChange, WatchStatus, WatchTarget
+from lilacloft.routing.endpoint_entry import EndpointEntry
 from lilacloft.routing.host import Endpoint, ListMode
+from lilacloft.routing.list_reconciliation import ListReconciliation
 from lilacloft.routing.model import Backend
 
 PURGE = "purge"  # an event kind; all others are endpoint lists, "full" or "delta"
@@ -30,6 +32,8 @@
         self.gateway = gateway
         self.clock_offset = ClockOffset()
         self.last_applied_event = configuration.last_applied_event
+        # of the configuration's list with a stored one; None where there is nothing to reconcile
+        self.reconciliation: ListReconciliation | None = None
         gateway.discovery_watch = DiscoveryWatch(
             parse_address(configuration.changelog),
             self.last_applied_event,
@@ -40,29 +44,68 @@
 
     def start(self) -> None:
         """Start to follow the change log. Its events after those in the configuration are not known yet."""
+        if not self.is_reconciling:
+            self.reconciliation = None
         self.gateway.router.discovery_begins()
         self.gateway.discovery_watch.start()
 
     def apply_configured_events(self, events: list[DiscoveryEvent]) -> None:
         """Apply the events that the configuration includes: purges first, as they show the offset of the
         change log's clock."""
+        self.reconciliation = ListReconciliation()
         entries = [entry for kind, content in events if kind != PURGE for entry in content]
         starts = (started * TICKS_PER_MILLISECOND for *_, started in entries)
         self.clock_offset.record_configured_starts(self.gateway.clock.time, starts)
         for event in sorted(events, key=lambda event: event[0] != PURGE):
             self.apply_event(event, ListMode.CACHED if event[0] == ListMode.FULL else None)
 
+    def read_after(self, event: int) -> None:
+        """Read the change log on from the events after this one. Called before the start."""
+        self.gateway.discovery_watch.last = event
+
+    @property
+    def is_reconciling(self) -> bool:
+        """Whether the list in use is restricted by a stored one until the change log was read to its end."""
+        return self.reconciliation is not None and self.reconciliation.is_active
+
+    def reconcile(self, stored: Iterable[EndpointEntry], is_complete: bool) -> None:
+        """Restrict the configured list by a stored one; see `ListReconciliation.begin`. Called before the
+        start."""
+        if self.reconciliation:
+            self._apply_entries(ListMode.DELTA, self.reconciliation.begin(stored, is_complete), None)
+
+    def _confirm_list(self) -> None:
+        """Use the reported list as it is, once the change log was read to its end."""
+        reconciliation, self.reconciliation = self.reconciliation, None
+        if reconciliation is None or not reconciliation.is_active:
+            return
+        changes = reconciliation.confirm()
+        logger.info("change log: the list is confirmed, {} backends have changed", len(changes))
+        self._apply_entries(ListMode.DELTA, changes, None)
+        gateway = self.gateway
+        if gateway.store:
+            gateway.store.list_confirmed(reconciliation.reported, gateway.discovery_watch.last)
+        if gateway.recorder and changes:
+            gateway.recorder.discovery_event(DiscoveryEvent("delta", changes), 0)
+
     def _event_received(self, event: DiscoveryEvent, number: int) -> None:
         """Post an event to the event loop; called in the change log's thread. Of the events that the
         configuration includes already, only purges are applied again, as the store may lack them: an older
         endpoint list must not be in effect even briefly."""
         gateway = self.gateway
-        if event[0] == PURGE or number > self.last_applied_event:
-            gateway.loop.post(self.apply_event, event, None, gateway.discovery_watch.status)
+        is_new = event[0] == PURGE or number > self.last_applied_event
+        gateway.loop.post(self._handle_event, event, number, gateway.discovery_watch.status, is_new)
+
+    def _handle_event(
+        self, event: DiscoveryEvent, number: int, feed_state: WatchStatus, is_new: bool
+    ) -> None:
+        """Apply an event of the change log if it is new, and have it stored and recorded."""
+        gateway = self.gateway
+        replaced = self.apply_event(event, None, feed_state) if is_new else []
         if gateway.store:
-            gateway.loop.post(gateway.store.event_received, event, number)
+            gateway.store.event_received(event, number, replaced)
         if gateway.recorder:
-            gateway.loop.post(gateway.recorder.discovery_event, event, number)
+            gateway.recorder.discovery_event(event, number)
 
     def _watch_changed(self, change: WatchChange, target: WatchTarget) -> None:
         """Post a change of the watch, behind earlier events; called in the change log's thread."""
@@ -84,6 +127,7 @@
                 router.discovery_unreachable()
             case WatchChange.CAUGHT_UP:
                 logger.info("change log: read to its end, event {}", gateway.discovery_watch.last)
+                self._confirm_list()
                 router.discovery_caught_up()
             case WatchChange.REFUSED:
                 if router.discovery_refused():
@@ -91,10 +135,10 @@
 
     def apply_event(
         self, event: DiscoveryEvent, mode: str | None = None, feed_state: WatchStatus | None = None
-    ) -> None:
+    ) -> list[EndpointEntry]:
         """Apply an endpoint list, changes to it, or a purge. `mode`: overrides the event's kind as the
         `ListMode`; `feed_state`: the watch's status before the event, None for an event from a configuration
-        or a store."""
+        or a store. Return the entries of backends that are gone, as others have taken their addresses."""
         clock = self.gateway.clock
         context = (
             WatchContext(clock.time - clock.monotonic_time + feed_state.at, feed_state.current)
@@ -104,12 +148,28 @@
         kind, content = event
         if kind == PURGE:
             self._apply_purge(content, context)
-            return
+            return []
+        mode = mode or kind
+        if self.reconciliation is None:
+            return self._apply_entries(mode, content, context)
+        change = self.reconciliation.report(mode, content)
+        self._apply_entries(mode, change.used, context)
+        return change.replaced
+
+    def _apply_entries(
+        self, mode: str, entries: Iterable[EndpointEntry], context: WatchContext | None
+    ) -> list[EndpointEntry]:
+        """Apply an endpoint list, or changes to it, with start times as discovery reports them. Return the
+        entries of backends that are gone, as others have taken their addresses."""
+        now = self.gateway.clock.time
         rows = [
-            (*row, self.clock_offset.start_time(clock.time, row[0], started * TICKS_PER_MILLISECOND, context))
-            for *row, started in content
+            (*row, self.clock_offset.start_time(now, row[0], started * TICKS_PER_MILLISECOND, context))
+            for *row, started in entries
         ]
-        self.apply_endpoints(mode or kind, rows)
+        replaced = self.apply_endpoints(mode, rows)
+        if self.is_reconciling and self.gateway.store:
+            self.gateway.store.backends_listed([name for name, *_ in rows])
+        return replaced
 
     def _apply_purge(self, content: tuple[str, int, int], context: WatchContext | None) -> None:
         key, group, unix_milliseconds = content
@@ -120,10 +180,12 @@
         gateway.router.object_purged(key, group, now - self.clock_offset.purge_time(now, stamp, context))
         self._correct_start_times()
 
-    def apply_endpoints(self, mode: str, rows: list[EndpointEntry]) -> None:
-        """Apply an endpoint list, or changes to it, with start times in the gateway's own time."""
+    def apply_endpoints(self, mode: str, rows: list[EndpointEntry]) -> list[EndpointEntry]:
+        """Apply an endpoint list, or changes to it, with start times in the gateway's own time. Return the
+        entries of backends that are gone, as others have taken their addresses; their start times are 0."""
         gateway = self.gateway
-        rows = [*self._superseded(rows), *rows]
+        superseded = list(self._superseded(rows))
+        rows = [*superseded, *rows]
         endpoints, addresses = [], []
         for name, address, zone, kind, cell, status, capacity, started in rows:
             backend = gateway.backends.get(name)
@@ -143,6 +205,7 @@
             if backend.status:
                 gateway.upstream.add_backend(backend, address)
         self._drop_unlisted()
+        return [EndpointEntry(*row)._replace(started=0) for row in superseded]
 
     def _superseded(self, rows: list[EndpointEntry]) -> Iterator[EndpointEntry]:
         """Yield rows that remove the listed backends at whose address another one is listed now: its process
--- a/lilacloft/handover/sender.py
+++ b/lilacloft/handover/sender.py
@@ -100,6 +100,8 @@
 
     def _begin(self, request: messages.UpgradeRequest, command_channel: Channel) -> None:
         """Start the receiver; raises UpgradeRefusedError if no handover may begin."""
+        if self.gateway.discovery.is_reconciling:  # only this process can tell which backends are restricted
+            raise UpgradeRefusedError("the change log has not been read to its end since the start")
         with self.lock:
             if self.state_machine.phase == Phase.IDLE:
                 self.reporter.command_channel = command_channel
--- a/lilacloft/net/discovery_events.py
+++ b/lilacloft/net/discovery_events.py
@@ -11,6 +11,7 @@
 from typing import Any, Literal, NamedTuple, TypeAlias
 
 from lilacloft.net.resp import GarbledError
+from lilacloft.routing.endpoint_entry import EndpointEntry
 
 ENDPOINT = struct.Struct(">I4sHBBBHIQ")  # name, address, port, state, zone, kind, cell, capacity, start
 OBJECT_PURGE = struct.Struct(">QQ")  # key, time
@@ -25,19 +26,6 @@
 STATUS_BY_CODE = (1, 2, 0)  # indexed by the state's code in frames
 
 
-class EndpointEntry(NamedTuple):
-    """One row of the endpoint list."""
-
-    name: str
-    address: tuple[str, int]
-    zone: int  # its index in the configuration's zones
-    kind: int  # its index in the configuration's kinds
-    cell: int
-    status: int  # a value of `BackendStatus`
-    capacity: float
-    started: int  # Unix time in milliseconds
-
-
 class Purge(NamedTuple):
     """A purge: copies of an object, or of a group of objects, from before a time must not be served."""
 
--- a/lilacloft/store/crash_recovery.py
+++ b/lilacloft/store/crash_recovery.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 from lilacloft.routing import snapshot
 from lilacloft.store import learned_state
 from lilacloft.store.endpoint_rows import EndpointRows, unpack_row
 from lilacloft.store.learned_state import AgedPart
+from lilacloft.store.record_types import Work
 from lilacloft.store.recovered_state import RecoveredState, recovered_work
 
 
@@ -19,21 +21,23 @@
     return endpoint_rows
 
 
-def restore_routing_state(gateway: Any, endpoint_rows: EndpointRows, recovered: RecoveredState) -> None:
-    """Apply the recovered state to a gateway whose routing state is that of its configuration."""
-    _restore_endpoints(gateway, endpoint_rows, recovered)
-    _restore_learned_state(gateway, recovered)
-    _restore_purges(gateway, recovered)
-    _restore_slow_start(gateway, recovered)
+def restore_endpoints(gateway: Any, endpoint_rows: EndpointRows, recovered: RecoveredState) -> int:
+    """Let the stored list restrict that of the configuration. Return the number of the event after which the
+    change log is read on."""
+    discovery = gateway.discovery
+    stored = endpoint_rows.begin(discovery.last_applied_event, recovered.last_event)
+    discovery.read_after(stored.read_after)
+    if not endpoint_rows.is_confirmed:
+        discovery.reconcile(stored.entries, stored.is_complete)
+    return stored.read_after
 
 
-def _restore_endpoints(gateway: Any, endpoint_rows: EndpointRows, recovered: RecoveredState) -> None:
-    start = endpoint_rows.starting_point(gateway.discovery_watch.last, recovered.last_event)
-    gateway.discovery_watch.last = start.read_after
-    for event in start.events:
-        gateway.apply_event(event)
-    if recovered.last_event > gateway.discovery.last_applied_event:
-        gateway.discovery.last_applied_event = recovered.last_event
+def restore_routing_state(gateway: Any, recovered: RecoveredState) -> None:
+    """Apply the recovered state to a gateway whose endpoint list is complete, but for what is reported
+    later."""
+    _restore_learned_state(gateway, recovered)
+    _restore_purges(gateway, recovered)
+    restore_slow_start(gateway, recovered.slow_start_work, list(gateway.backends))
 
 
 def _restore_learned_state(gateway: Any, recovered: RecoveredState) -> None:
@@ -59,11 +63,16 @@
         gateway.router.object_purged(key, group, gateway.time - purge_time)
 
 
-def _restore_slow_start(gateway: Any, recovered: RecoveredState) -> None:
-    started = {name: backend.started for name, backend in gateway.backends.items()}
+def restore_slow_start(gateway: Any, work: dict[str, list[Work]], names: Iterable[str]) -> None:
+    """Restore the recent work of backends that were listed just now, and drop it from `work`, the stored work
+    by the backend's name."""
+    backends = {name: gateway.backends[name] for name in names if name in work and name in gateway.backends}
+    if not backends:
+        return
+    stored = {name: work.pop(name) for name in backends}
+    started = {name: backend.started for name, backend in backends.items()}
     window = gateway.router.settings.overload_window
-    max_work = {name: float(backend.capacity) * window for name, backend in gateway.backends.items()}
-    work = recovered_work(recovered, started, window, gateway.time, max_work)
-    for name, sent in work.items():
-        backend = gateway.backends[name]
+    max_work = {name: float(backend.capacity) * window for name, backend in backends.items()}
+    for name, sent in recovered_work(stored, started, window, gateway.time, max_work).items():
+        backend = backends[name]
         backend.recent_work = backend.recent_work or list(sent)  # a handed-over value is more precise
--- a/lilacloft/store/gateway_store.py
+++ b/lilacloft/store/gateway_store.py
@@ -10,19 +10,26 @@
 import functools
 import os
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, NamedTuple, TypeAlias
 
 from lilacloft.log import logger
 from lilacloft.net.attempt import Attempt
 from lilacloft.net.close_reasons import OUTCOMES, CloseReason
+from lilacloft.routing.endpoint_entry import EndpointEntry
 from lilacloft.routing.model import Backend, Idempotency, IdempotencyScope, Outcome, Request
 from lilacloft.routing.units import Ticks
-from lilacloft.store import durability_snapshot
+from lilacloft.store import durability_snapshot, record_types
 from lilacloft.store.background_records import BackgroundRecords
-from lilacloft.store.crash_recovery import recover_endpoint_rows, restore_routing_state
+from lilacloft.store.crash_recovery import (
+    recover_endpoint_rows,
+    restore_endpoints,
+    restore_routing_state,
+    restore_slow_start,
+)
 from lilacloft.store.durability import DEFAULT_DURABILITY_TIMEOUT, DurabilityGate
+from lilacloft.store.endpoint_rows import StoredRow
 from lilacloft.store.files import StoreDirectory
 from lilacloft.store.group_commit import GroupCommitter
 from lilacloft.store.idempotency import IdempotencyPolicy, Verdict
@@ -96,8 +103,11 @@
         self.relay: Relay | None = None  # set while another process writes the store
         self.last_relay_ticket = 0
         self.unwritten_events: list[Callable[[], None]] = []  # of the change log, received while relaying
+        self.unlisted_work = recovered.slow_start_work  # of backends that were not listed since the start
+        self.first_records: list[tuple[RecordKind, bytes, bytes | None]] = []  # written at the start
         if inherited is None:
-            restore_routing_state(gateway, self.endpoint_rows, recovered)
+            self._begin_list(recovered)
+            restore_routing_state(gateway, recovered)
         else:
             durability_snapshot.restore(self.gate, inherited.state)
         self.committer = GroupCommitter(
@@ -114,6 +124,13 @@
         store.catch_up()
         return store
 
+    def _begin_list(self, recovered: RecoveredState) -> None:
+        """Decide what the stored endpoint list means, which may be of an earlier life of the gateway."""
+        rows = self.endpoint_rows
+        read_after = restore_endpoints(self.gateway, rows, recovered)
+        numbers = record_types.pack_event_numbers(EventNumbers(read_after, rows.complete_from))
+        self.first_records.append((RecordKind.LAST_EVENT, b"", numbers))
+
     def _retention_limits(self) -> dict[int, RetentionLimit]:
         windows = [vhost.get("repeat_window", 0) for vhost in self.gateway.vhosts]
         return retention_limits(self.purge_lifetime, self.gateway.max_client_timeout, max(windows))
@@ -137,6 +154,8 @@
     def start(self) -> None:
         """Begin to write. Called once the event loop runs and this process is the active gateway."""
         self.committer.run_before_writing(self.directory.write_pid)
+        for kind, key, value in self.first_records:
+            self.write_record(kind, key, value)
         self.background.write()
 
     def close(self) -> None:
@@ -295,17 +314,29 @@
             return
         self.gate.object_purged(key or group, purged_at)
 
-    def event_received(self, event: Any, number: int) -> None:
-        """Handle an event of the change log after it was applied."""
+    def event_received(self, event: Any, number: int, replaced: Sequence[EndpointEntry] = ()) -> None:
+        """Handle an event of the change log after it was applied. `replaced`: entries of backends that are
+        gone by it, as others have taken their addresses."""
         if self.relay is not None:
-            self.unwritten_events.append(functools.partial(self.event_received, event, number))
+            self.unwritten_events.append(functools.partial(self.event_received, event, number, replaced))
             return
         mode, payload = event
         if mode != "purge":
-            for key, stored in self.endpoint_rows.apply(mode, payload, number).items():
-                self.write_record(RecordKind.ROW, key, None if stored is None else stored.pack())
+            self._write_rows(self.endpoint_rows.apply(mode, [*replaced, *payload], number))
         self.gate.events_applied(EventNumbers(number, self.endpoint_rows.complete_from))
 
+    def list_confirmed(self, reported: Mapping[str, EndpointEntry], number: int) -> None:
+        """Handle that the change log was read to its end after the start; see `EndpointRows.confirm`."""
+        self._write_rows(self.endpoint_rows.confirm(reported, number))
+
+    def backends_listed(self, names: Iterable[str]) -> None:
+        """Handle that backends were listed that may not have been at the start."""
+        restore_slow_start(self.gateway, self.unlisted_work, names)
+
+    def _write_rows(self, changes: Mapping[bytes, StoredRow | None]) -> None:
+        for key, stored in changes.items():
+            self.write_record(RecordKind.ROW, key, None if stored is None else stored.pack())
+
     @staticmethod
     def _token(attempt: Attempt) -> str:
         return f"{attempt.client_request.name} {attempt.seq}"
--- a/lilacloft/store/recovered_state.py
+++ b/lilacloft/store/recovered_state.py
@@ -73,13 +73,13 @@
 
 
 def recovered_work(
-    state: RecoveredState,
+    slow_start_work: Mapping[str, list[Work]],
     started: Mapping[str, Ticks],
     window: Ticks,
     now: Ticks,
     max_work: Mapping[str, float],
 ) -> dict[str, list[Work]]:
-    """Return the recent work of backends in slow start after a crash, by name.
+    """Return the recent work of backends in slow start after a crash, by name. `slow_start_work`: as stored.
 
     `started` has the start time of each backend (0: not recently), `max_work` the maximum transfer time in
     ticks that may be sent to it within `window`. The last records before the crash may not have become
@@ -87,7 +87,7 @@
     its record has no work.
     """
     recovered: dict[str, list[Work]] = {}
-    for name, stored in state.slow_start_work.items():
+    for name, stored in slow_start_work.items():
         started_at = started.get(name, 0)
         if not started_at:
             continue
--- a/rigs/stored_forms.py
+++ b/rigs/stored_forms.py
@@ -44,6 +44,7 @@
 from lilacloft.record.summary import BackendState, EndedAttempt, Summary, VhostTargets
 from lilacloft.routing import snapshot
 from lilacloft.routing.concurrency import AdaptiveLimit
+from lilacloft.routing.endpoint_entry import EndpointEntry
 from lilacloft.routing.host import Endpoint
 from lilacloft.routing.model import Backend, ObjectPart, Request
 from lilacloft.routing.router import Router
@@ -125,12 +126,18 @@
 
 
 def store_listing(folder: Path, now: int, purge_done: int, known: int) -> Plain:
-    """The list of backends with which a start goes on whose configuration is of the event `known`."""
+    """What restricts the list of backends of a start whose configuration is of the event `known`."""
     found = _recovered(folder, now, purge_done)
     rows = EndpointRows()
     rows.restore({key: unpack_row(row) for key, row in found.rows.items()}, found.rows_complete_from)
-    events, ask_from = rows.starting_point(known, found.last_event)
-    return {"base": rows.complete_from, "full": rows.last_full, "events": lists(events), "from": ask_from}
+    base, stored = rows.complete_from, rows.begin(known, found.last_event)
+    return {
+        "base": base,
+        "full": rows.last_full,
+        "rows": lists(stored.entries),
+        "whole": stored.is_complete,
+        "from": stored.read_after,
+    }
 
 
 def store_learned(
@@ -180,7 +187,7 @@
 
 def listing_rows(mode: str, rows: list[list[Any]], number: int) -> Plain:
     """What is to be kept of an event of the change log, by key; none for what goes."""
-    changes = EndpointRows().apply(mode, [tuple(row) for row in rows], number)
+    changes = EndpointRows().apply(mode, [EndpointEntry(*row) for row in rows], number)
     return {key.decode(): lists(value) for key, value in changes.items()}
 
 
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -169,9 +169,11 @@
 def test_slow_start_work_is_recovered_and_unrecorded_work_counts_as_sent():
     recovered = RecoveredState(slow_start_work={"s": [(900, 2.0)], "t": [(900, 2.0)], "u": [(900, 2.0)]})
     started = {"s": 500, "t": 950}
-    got = recovered_work(recovered, started, 10_000, 1000, {"s": 5.0, "t": 5.0, "u": 5.0})
+    got = recovered_work(recovered.slow_start_work, started, 10_000, 1000, {"s": 5.0, "t": 5.0, "u": 5.0})
     assert got == {"s": [(900, 2.0), (1000, 3.0)], "t": []}  # t has restarted since; u is not listed
-    assert recovered_work(recovered, {"s": 500}, 10_000, 1000 + 2 * WORK_INTERVAL, {"s": 5.0}) == {"s": []}
+    assert recovered_work(
+        recovered.slow_start_work, {"s": 500}, 10_000, 1000 + 2 * WORK_INTERVAL, {"s": 5.0}
+    ) == {"s": []}
 
 
 @pytest.mark.parametrize("seed", range(300))
--- /dev/null
+++ b/tests/test_lives.py
@@ -0,0 +1,216 @@
+"""What a gateway makes of the numbers of the change log's events, which begin anew with each of its lives.
+
+A store, a file, or another process may have numbers of this life or of an earlier one; neither the address of
+the log nor the numbers show which.
+"""
+
+import signal
+import time
+
+import pytest
+
+from lilacloft.net.resp import parse_fields
+from rigs.scene import write_worlds
+from rigs.stands import Log, record, serves
+
+STORE = '(store (folder "store") (patience 1s))'  # far longer than a commit takes on a busy machine
+UPGRADE = '(upgrade (handover "h.sock") (limits (starting 5s) (warming 5s) (taking 1s) (committed 1s)))'
+DRAIN_GRACE = 1.0 + 0.05  # seconds after a drain, and the slack on sockets
+DURABLE = 0.5  # seconds in which what was heard is stored
+READY, LEAVING, GONE = 0, 1, 2  # states in frames
+KEY = 9
+
+
+@pytest.fixture
+def world(tmp_path):
+    with write_worlds(tmp_path, forms=STORE) as make:
+        yield make
+
+
+def tell(world, number, cache, state):
+    world.log.add(number, 2, record(cache + 1, world.caches[cache].port, state=state))
+
+
+def purge_frame(number):
+    return number, 3, KEY.to_bytes(8, "big") + int(time.time() * 1000).to_bytes(8, "big")
+
+
+def an_ordinary_life(world, last=5):
+    """Let caches drain and be ready again, by the events 2 to `last`."""
+    for number in range(2, last + 1):
+        tell(world, number, 1, (READY, LEAVING)[number % 2 == 0])
+    time.sleep(DURABLE)
+
+
+def set_known(world, seq=1, states=()):
+    """Write what the configuration holds of the list: `states` by cache, the others are active."""
+    known = world.config["known"]
+    known["seq"] = known["results"][0]["seq"] = seq
+    for cache, state in dict(states).items():
+        known["results"][0]["fleet"]["targets"][cache]["state"] = state
+
+
+def end_life(world, how=signal.SIGTERM):
+    """End the gateway and its change log."""
+    world.process.send_signal(how)
+    world.process.wait(10)
+    world.log.close()
+    world.log.break_off()
+
+
+def begin_life(world, frames=(), at_same_address=False, log_is_away=False):
+    """Start the gateway anew, with a change log whose numbers begin anew."""
+    log = Log(frames, world.log.port if at_same_address else 0)
+    world.log, world.config["changelog"] = log, f"127.0.0.1:{log.port}"
+    if log_is_away:
+        log.close()
+        log.break_off()
+    world.start()
+
+
+def used(world, requests=16):
+    """Ask for many objects; return the caches that were asked and the words of the answers."""
+    for cache in world.caches:
+        while not cache.seen.empty():
+            cache.seen.get()
+    client, words = world.asker(), set()
+    for key in range(100, 100 + requests):
+        client.ask(key=key)
+        words.add(client.answer()[1])
+    asked = {number for number, cache in enumerate(world.caches) if not cache.seen.empty()}
+    return asked, words
+
+
+# --- a store, and numbers that begin anew ---
+
+
+@pytest.mark.parametrize("how", [signal.SIGTERM, signal.SIGKILL])
+@pytest.mark.parametrize("at_same_address", [False, True])
+@pytest.mark.parametrize("known", [1, 5, 9])
+def test_a_drain_told_after_a_restart_is_missed_as_its_number_is_not_new(world, how, at_same_address, known):
+    """Guards against a log that is read on from the number of an earlier life: lower, equal or higher."""
+    world = world(serves(), serves())
+    an_ordinary_life(world)
+    end_life(world, how)
+    set_known(world, known)
+    begin_life(world, at_same_address=at_same_address)
+    tell(world, known + 1, 0, LEAVING)
+    time.sleep(DRAIN_GRACE)
+    assert used(world) == ({1}, {b"200"})
+
+
+@pytest.mark.parametrize("how", [signal.SIGTERM, signal.SIGKILL])
+def test_events_are_missed_where_the_new_log_is_longer_than_the_old_one_at_the_start(world, how):
+    """Guards against a drain and a purge between the configuration's event and the stored number."""
+    world = world(serves(), serves())
+    an_ordinary_life(world)
+    end_life(world, how)
+    frames = [
+        (2, 2, record(1, world.caches[0].port, state=LEAVING)),
+        purge_frame(3),
+        *((number, 2, record(2, world.caches[1].port)) for number in range(4, 12)),
+    ]
+    begin_life(world, frames)
+    world.told("read to its end", 2)
+    time.sleep(DRAIN_GRACE)
+    assert used(world) == ({1}, {b"200"})
+    client = world.asker()
+    client.ask(key=KEY)
+    assert client.answer()[1] == b"200"
+    limits = []
+    while not world.caches[1].seen.empty():
+        verb, *rest = world.caches[1].seen.get()[2]
+        limits += [int(parse_fields(rest[1])["agelim"])] if verb == b"do" else []
+    assert 0 < limits[-1] < 5000
+
+
+def test_a_stored_row_overrides_the_newer_list_of_a_restart(world):
+    """Guards against stored rows of an earlier life that are applied over a list that disagrees: a cache
+    that is ready again by the store drains by the configuration."""
+    world = world(serves(), serves())
+    tell(world, 2, 0, LEAVING)
+    tell(world, 3, 0, READY)
+    time.sleep(DURABLE)
+    end_life(world)
+    set_known(world, 1, {0: "leaving"})
+    begin_life(world, log_is_away=True)
+    assert used(world) == ({1}, {b"200"})
+
+
+def test_a_cache_that_only_the_store_lists_is_used_after_a_restart(world):
+    """Guards against a cache of an earlier life that the newer list does not have."""
+    world = world(serves(), serves())
+    tell(world, 2, 0, READY)
+    time.sleep(DURABLE)
+    end_life(world)
+    del world.config["known"]["results"][0]["fleet"]["targets"][0]
+    begin_life(world, log_is_away=True)
+    assert used(world) == ({1}, {b"200"})
+
+
+def test_a_drain_of_an_earlier_life_keeps_a_cache_unused_for_good(world):
+    """Guards against the other way: a cache that drained by the store is ready by the new list."""
+    world = world(serves(), serves())
+    tell(world, 2, 0, LEAVING)
+    time.sleep(DURABLE)
+    end_life(world)
+    begin_life(world)
+    world.told("read to its end", 2)
+    assert used(world) == ({0, 1}, {b"200"})
+    world.log.close()
+    world.log.break_off()
+    time.sleep(DURABLE)
+    world.kill_and_restart()  # the same file: nothing in the store restricts it any more
+    assert used(world) == ({0, 1}, {b"200"})
+
+
+def test_a_drain_of_a_later_life_is_forgotten_among_higher_numbers(world):
+    """Guards against a stored drain that does not hold after a crash in a life with lower numbers."""
+    world = world(serves(), serves())
+    tell(world, 2, 0, LEAVING)
+    an_ordinary_life(world, 9)
+    tell(world, 10, 0, READY)
+    time.sleep(DURABLE)
+    end_life(world)
+    begin_life(world)
+    tell(world, 2, 0, LEAVING)
+    time.sleep(DURABLE)
+    world.log.close()
+    world.log.break_off()
+    world.kill_and_restart()
+    assert used(world) == ({1}, {b"200"})
+
+
+def test_a_stored_drain_does_not_hold_while_older_events_are_read_again(world):
+    """Guards against a list of the past that is in effect while the log is read from the configuration's
+    event on, and against a second crash in the middle of that."""
+    world = world(serves(), serves())
+    for number, state in ((2, LEAVING), (3, READY), (4, LEAVING)):
+        tell(world, number, 0, state)
+    time.sleep(DURABLE)
+    world.process.kill()
+    world.process.wait()
+    del world.log.frames[2:]  # the log is as slow as that: it has told no more than events 2 and 3
+    world.log.beats_at_once = False
+    world.change_log_texts = lambda: []
+    world.start()
+    world.log.since.get(timeout=5)
+    assert used(world) == ({1}, {b"200"})
+    time.sleep(DURABLE)
+    world.log.close()
+    world.log.break_off()
+    world.kill_and_restart()
+    assert used(world) == ({1}, {b"200"})
+
+
+def test_an_upgrade_hands_over_a_list_that_the_store_still_restricts(world):
+    """Guards against a new process that never learns that the restrictions have ended."""
+    world = world(serves(), serves(), forms=STORE + UPGRADE)
+    tell(world, 2, 0, LEAVING)
+    time.sleep(DURABLE)
+    world.log.close()
+    world.log.break_off()
+    world.kill_and_restart()
+    done, why = world.upgrade()
+    assert not done and "has not been read to its end since the start" in why
+    assert used(world) == ({1}, {b"200"})
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -190,12 +190,12 @@
     assert found["learned"] == {name: [NOW, value] for name, value in LEARNED.items()}
 
 
-def test_a_start_uses_the_backend_list_in_a_store():
+def test_a_start_restricts_its_list_by_the_backend_list_in_a_store():
     listing = forms.store_listing(DATA / "store", NOW, PURGE_DONE, 34)
-    assert listing == {"base": 31, "full": 35, "events": [["full", [BE_1, BE_2]]], "from": 44}
+    assert listing == {"base": 31, "full": 35, "rows": [BE_1, BE_3, BE_2], "whole": True, "from": 34}
     listing = forms.store_listing(DATA / "store", NOW, PURGE_DONE, 40)
-    assert listing == {"base": 31, "full": 35, "events": [["delta", [BE_3, BE_2]]], "from": 44}
-    assert forms.store_listing(DATA / "store", NOW, PURGE_DONE, 30)["from"] == 30
+    assert listing == {"base": 31, "full": 35, "rows": [BE_3, BE_2], "whole": False, "from": 40}
+    assert forms.store_listing(DATA / "store", NOW, PURGE_DONE, 50)["from"] == 44
 
 
 def test_change_log_events_become_the_rows_of_a_store():
