An upgrade reads the change log on from the list handed over, not from its file's number

Seen, forced: a configuration file that is newer than the list of the running process, as its change log has stood still; after an upgrade the new process routes to a cache whose drain the file and the log have, and goes on.

Cause: GatewayRestorer.restore read the log on from the higher of two numbers, that of the file and that of the list handed over. The list in use is the one handed over, so the events in between were never asked for; lists up to the file's number were passed over as well.

Change: both numbers are those of the list handed over, whatever the file says.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -59,6 +59,12 @@
         for event in sorted(events, key=lambda event: event[0] != PURGE):
             self.apply_event(event, ListMode.CACHED if event[0] == ListMode.FULL else None)
 
+    def resume(self, last_event: int) -> None:
+        """Continue with the list that another process has handed over, which is as of an event. The number
+        in the configuration says nothing about that list, as the file may be newer or older."""
+        self.last_applied_event = last_event
+        self.read_after(last_event)
+
     def read_after(self, event: int) -> None:
         """Read the change log on from the events after this one. Called before the start."""
         self.gateway.discovery_watch.last = event
--- a/lilacloft/handover/state_restore.py
+++ b/lilacloft/handover/state_restore.py
@@ -82,7 +82,7 @@
         try:
             requests = self._restore_decisions(state, configured_vhosts)
             add_counters(gateway, state.counts)
-            gateway.discovery_watch.last = max(gateway.discovery_watch.last, state.last_event)
+            gateway.discovery.resume(state.last_event)
             gateway.upstream.checks = state.health_check_count
             self._restore_open(state, requests, socket_at)
         except (KeyError, IndexError, ValueError, TypeError, AttributeError) as error:
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -4,6 +4,7 @@
 the log nor the numbers show which.
 """
 
+import json
 import signal
 import time
 
@@ -214,3 +215,18 @@
     done, why = world.upgrade()
     assert not done and "has not been read to its end since the start" in why
     assert used(world) == ({1}, {b"200"})
+
+
+# --- upgrades: this life goes on, whatever number the file has ---
+
+
+def test_events_that_only_the_file_has_are_missed_in_an_upgrade(world):
+    """Guards against a log that is read on from the file's number, over a list that is older than it."""
+    world = world(serves(), serves(), forms=UPGRADE)
+    # events that the log has and that the old process has not been sent
+    world.log.frames += [(2, 2, record(1, world.caches[0].port, state=LEAVING)), (3, 2, b"")]
+    set_known(world, 3, {0: "leaving"})
+    world.path.write_text(json.dumps(world.config))
+    assert world.upgrade() == (True, "")
+    time.sleep(DRAIN_GRACE)
+    assert used(world) == ({1}, {b"200"})
