A store that joins in an upgrade drops what it holds of an earlier list

Seen, forced: a process without a store is replaced by one whose settings name a folder with rows of an earlier life. Since the rows only went on to restrict what the store keeps, so that after a crash, with the log away, a cache that had drained in the earlier life was not used.

Cause: GatewayStore took a takeover without an inherited store for a start.

Change: what the old process hands over is newer than anything in such a store; its rows are removed, and its number is that of the list handed over. Stored purges, intents and slow starts have times of their own and stay.

--- a/lilacloft/handover/process.py
+++ b/lilacloft/handover/process.py
@@ -77,7 +77,8 @@
         timeout = int(store.get("patience", DEFAULT_STORE_TIMEOUT) * TICKS_PER_SECOND)
         try:
             inherited = InheritedStore(**restored) if restored else None
-            return GatewayStore(gateway, store["folder"], timeout, inherited)
+            takes_over = self.options.takeover >= 0
+            return GatewayStore(gateway, store["folder"], timeout, inherited, list_is_inherited=takes_over)
         except StoreError as error:
             raise UnusableError(str(error)) from error
 
--- a/lilacloft/store/endpoint_rows.py
+++ b/lilacloft/store/endpoint_rows.py
@@ -142,3 +142,13 @@
             self.last_full, changes[FULL_LIST_KEY] = 0, None
         self.is_confirmed = True
         return changes
+
+    def discard(self, number: int) -> dict[bytes, StoredRow | None]:
+        """Handle that another process has handed over its list as of event `number`, and not through this
+        store: what this store holds is older. Return the records to write, by key."""
+        changes: dict[bytes, StoredRow | None] = dict.fromkeys(map(str.encode, self.rows))
+        if self.last_full:
+            changes[FULL_LIST_KEY] = None
+        self.rows.clear()
+        self.complete_from, self.last_full = number, 0
+        return changes
--- a/lilacloft/store/gateway_store.py
+++ b/lilacloft/store/gateway_store.py
@@ -77,10 +77,12 @@
         path: str,
         durability_timeout: Ticks = DEFAULT_DURABILITY_TIMEOUT,
         inherited: InheritedStore | None = None,
+        list_is_inherited: bool = False,
     ) -> None:
         """Open a gateway's store, or continue with an inherited one.
 
-        Without `inherited` the state is recovered, however the last process ended.
+        Without `inherited` the state is recovered, however the last process ended. `list_is_inherited`: the
+        previous process has handed over the endpoint list.
         Raises StoreError or OSError.
         """
         self.gateway, self.path = gateway, os.path.realpath(path)
@@ -106,7 +108,7 @@
         self.unlisted_work = recovered.slow_start_work  # of backends that were not listed since the start
         self.first_records: list[tuple[RecordKind, bytes, bytes | None]] = []  # written at the start
         if inherited is None:
-            self._begin_list(recovered)
+            self._begin_list(recovered, list_is_inherited)
             restore_routing_state(gateway, recovered)
         else:
             durability_snapshot.restore(self.gate, inherited.state)
@@ -124,10 +126,15 @@
         store.catch_up()
         return store
 
-    def _begin_list(self, recovered: RecoveredState) -> None:
+    def _begin_list(self, recovered: RecoveredState, list_is_inherited: bool) -> None:
         """Decide what the stored endpoint list means, which may be of an earlier life of the gateway."""
         rows = self.endpoint_rows
-        read_after = restore_endpoints(self.gateway, rows, recovered)
+        if list_is_inherited:
+            read_after = self.gateway.discovery.last_applied_event
+            changes = rows.discard(read_after)
+            self.first_records = [(RecordKind.ROW, key, None) for key in changes]
+        else:
+            read_after = restore_endpoints(self.gateway, rows, recovered)
         numbers = record_types.pack_event_numbers(EventNumbers(read_after, rows.complete_from))
         self.first_records.append((RecordKind.LAST_EVENT, b"", numbers))
 
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -5,14 +5,16 @@
 """
 
 import json
+import os
 import signal
 import time
 
 import pytest
 
 from lilacloft.net.resp import parse_fields
+from rigs.inprocess import until
 from rigs.scene import write_worlds
-from rigs.stands import Log, record, serves
+from rigs.stands import Log, processes, record, serves
 
 STORE = '(store (folder "store") (patience 1s))'  # far longer than a commit takes on a busy machine
 UPGRADE = '(upgrade (handover "h.sock") (limits (starting 5s) (warming 5s) (taking 1s) (committed 1s)))'
@@ -230,3 +232,37 @@
     assert world.upgrade() == (True, "")
     time.sleep(DRAIN_GRACE)
     assert used(world) == ({1}, {b"200"})
+
+
+def test_a_store_of_an_earlier_life_overrides_the_list_that_an_upgrade_hands_over(world, tmp_path):
+    """Guards against a store that the old process did not have: it is older than what is handed over."""
+    world = world(serves(), serves(), serves(), forms=STORE)
+    an_ordinary_life(world)
+    tell(world, 6, 2, LEAVING)
+    time.sleep(DURABLE)
+    end_life(world)
+    world.settings.write_text(f"(lilacloft {UPGRADE})")
+    begin_life(world)
+    (tmp_path / "stored.sexp").write_text(f"(lilacloft {STORE}{UPGRADE})")
+    command = [
+        str(tmp_path / "stored.sexp") if word == str(world.settings) else word for word in world.command
+    ]
+    assert world.upgrade(to=" ".join(command)) == (True, "")
+    assert used(world) == ({0, 1, 2}, {b"200"})
+    tell(world, 2, 0, LEAVING)
+    time.sleep(DRAIN_GRACE)
+    assert used(world) == ({1, 2}, {b"200"})
+    world.settings.write_text(f"(lilacloft {STORE}{UPGRADE})")
+    world.log.close()
+    world.log.break_off()
+    kill_all(world)
+    world.start()
+    assert used(world) == ({1, 2}, {b"200"})  # what the store had before the upgrade restricts nothing
+
+
+def kill_all(world):
+    """Kill all processes of the gateway."""
+    for pid in processes(str(world.path)):
+        os.kill(pid, signal.SIGKILL)
+    world.process.wait()
+    until(lambda: not processes(str(world.path)))
