A worker that its supervisor starts again sends nothing by a file that may be old

Its configuration is as old as the supervisor, and it routed by it until it had read the change log.

Change: the supervisor tells a worker which start of it this is. From the second on, a worker without a store uses no backend until the log was read to its end; it accepts clients once that is so, after 0.25 s at the latest, and rejects at once what comes before it has read the log. A worker with a store goes by that, as after any crash. The count goes by the environment and not by an option, as workers of an older version end at an option that they do not know.

Cost: a worker without a store that dies serves nothing until the log's first heartbeat, up to a second by the protocol, and while the log is away; with a store it serves at once.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from lilacloft.clock_offset import ClockOffset, WatchContext
 from lilacloft.gateway.clock import TICKS_PER_MILLISECOND
@@ -34,6 +34,7 @@
         self.last_applied_event = configuration.last_applied_event
         # of the configuration's list with a stored one; None where there is nothing to reconcile
         self.reconciliation: ListReconciliation | None = None
+        self.on_confirmed: Callable[[], None] = lambda: None
         gateway.discovery_watch = DiscoveryWatch(
             parse_address(configuration.changelog),
             self.last_applied_event,
@@ -93,6 +94,7 @@
             gateway.store.list_confirmed(reconciliation.reported, gateway.discovery_watch.last)
         if gateway.recorder and changes:
             gateway.recorder.discovery_event(DiscoveryEvent("delta", changes), 0)
+        self.on_confirmed()
 
     def _event_received(self, event: DiscoveryEvent, number: int) -> None:
         """Post an event to the event loop; called in the change log's thread. Of the events that the
--- a/lilacloft/gateway/gateway.py
+++ b/lilacloft/gateway/gateway.py
@@ -42,6 +42,7 @@
 
 HEARTBEAT_INTERVAL: Ticks = 500  # the event loop wakes at least this often, so that pauses are detected
 WRITE_RETRY_DELAY: Ticks = 100  # until a write for which no thread could be started is retried
+MAX_LIST_WAIT: Ticks = 2_500  # for the change log, before clients are accepted and rejected without a backend
 MAX_MAINTENANCE_INTERVAL = 0.5  # seconds; stalled clients must be closed within a few rounds
 
 
@@ -65,6 +66,7 @@
         initial_events = read_initial_events(config, configuration.settings)
         self.budgets = read_budgets(self.limits)
         self.lifecycle = Lifecycle(self)
+        self.is_accepting = False
         self.reporter = Reporter(self)
         self.pressure_log = PressureLog(self)
         self.answers = FinalAnswers(self)
@@ -136,12 +138,23 @@
         """Serve until the process was told to stop and no request is outstanding."""
         self.lifecycle.enter(Phase.SERVING)
         self.discovery.start()
-        self.downstream.start()
-        logger.info("serving on {} with {} backends listed", self.configuration.listen, len(self.backends))
+        if self.discovery.is_reconciling and not self.backends:  # usually the log is read at once
+            self.discovery.on_confirmed = self._accept_clients
+            self.call_at(self.time + MAX_LIST_WAIT, self._accept_clients)
+        else:
+            self._accept_clients()
         self.run_maintenance()
         self.heartbeat()
         self.loop.run(self.lifecycle.is_finished)
 
+    def _accept_clients(self) -> None:
+        """Begin to accept clients, once."""
+        if self.is_accepting:
+            return
+        self.is_accepting = True
+        self.downstream.start()
+        logger.info("serving on {} with {} backends listed", self.configuration.listen, len(self.backends))
+
     @property
     def has_ended(self) -> bool:
         """Whether everything is closed, or another process is this gateway now."""
@@ -157,7 +170,9 @@
         self.lifecycle.enter(Phase.ENDED)
 
     def stop(self) -> None:
-        """Start the graceful shutdown, after SIGTERM."""
+        """Start the graceful shutdown, after SIGTERM. Clients that have connected are still answered."""
+        if self.lifecycle.phase is Phase.SERVING:
+            self._accept_clients()
         self.lifecycle.stop()
 
     def reload(self, config: dict[str, Any]) -> None:
--- a/lilacloft/handover/process.py
+++ b/lilacloft/handover/process.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from lilacloft.errors import TakeoverAbortedError, UnusableError
+from lilacloft.handover import process_arguments
 from lilacloft.handover.channel import ChannelError
 from lilacloft.handover.framing import FormatError, to_plain
 from lilacloft.handover.receiver import NO_DESCRIPTOR, HandoverReceiver
@@ -139,6 +140,10 @@
     recorder = factory.make_recorder(gateway)
     store = factory.open_store(gateway)
     agent = factory.make_agent(gateway)
+    is_restart = has_listener and process_arguments.worker_start(os.environ) > 1
+    if is_restart and not (store and store.list_is_stored):
+        # the configuration is as old as the supervisor, and what earlier workers heard is not known
+        gateway.discovery.reconcile([], is_complete=True)
 
     def begin() -> None:
         """Start the components; the gateway serves from now on."""
--- a/lilacloft/handover/process_arguments.py
+++ b/lilacloft/handover/process_arguments.py
@@ -1,8 +1,8 @@
-"""Command-line arguments that one process of a gateway passes to another that it starts."""
+"""Arguments and environment that one process of a gateway passes to another that it starts."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 TAKEOVER = "--takeover"  # descriptor of the channel to the sender
 STATUS = "--status"  # descriptor of the pipe to the supervisor
@@ -12,6 +12,9 @@
 )
 SUPERVISED = "--supervised"  # flag: run as the supervisor
 
+# Environment variable, which other versions ignore: which start of a worker by its supervisor this is.
+WORKER_START = "LILACLOFT_WORKER_START"
+
 # Options that one process passes to another; each has a value.
 INTERNAL_OPTIONS = (TAKEOVER, STATUS, LISTENER, UNSERVED_SINCE)
 
@@ -25,3 +28,9 @@
             command.append(argument)
         is_value = argument in INTERNAL_OPTIONS
     return command
+
+
+def worker_start(environment: Mapping[str, str]) -> int:
+    """Return which start of a worker by its supervisor this process is, from 1; 0: unknown."""
+    text = environment.get(WORKER_START, "")
+    return int(text) if text.isdigit() else 0
--- a/lilacloft/handover/supervisor.py
+++ b/lilacloft/handover/supervisor.py
@@ -57,6 +57,7 @@
         self.exit_code: int | None = None
         self.partial_status = b""
         self.workers: list[subprocess.Popen[bytes]] = []
+        self.worker_starts = 0
         self.unserved_since = time.monotonic()  # since when no worker accepts connections, if none does
         self.watchdog = WorkerWatchdog(self)
 
@@ -117,6 +118,8 @@
     def start_worker(self) -> int:
         """Start a worker; returns its process id, or 0 if it cannot be started."""
         listener = self.listener.fileno()
+        self.worker_starts += 1
+        environment = {**os.environ, process_arguments.WORKER_START: str(self.worker_starts)}
         command = [
             *self.worker_command,
             *(process_arguments.STATUS, str(self.status_writer)),
@@ -125,7 +128,10 @@
         ]
         try:
             worker = subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, pass_fds=(self.status_writer, listener)
+                command,
+                stdin=subprocess.DEVNULL,
+                pass_fds=(self.status_writer, listener),
+                env=environment,
             )
         except OSError as error:
             logger.error("supervisor: {}", error)
--- a/lilacloft/store/gateway_store.py
+++ b/lilacloft/store/gateway_store.py
@@ -106,6 +106,7 @@
         self.last_relay_ticket = 0
         self.unwritten_events: list[Callable[[], None]] = []  # of the change log, received while relaying
         self.unlisted_work = recovered.slow_start_work  # of backends that were not listed since the start
+        self.list_is_stored = recovered.event_is_stored
         self.first_records: list[tuple[RecordKind, bytes, bytes | None]] = []  # written at the start
         if inherited is None:
             self._begin_list(recovered, list_is_inherited)
--- a/lilacloft/store/recovered_state.py
+++ b/lilacloft/store/recovered_state.py
@@ -31,6 +31,7 @@
     intents: dict[bytes, Intent] = field(default_factory=dict)  # by idempotency key or request name
     slow_start_work: dict[str, list[Work]] = field(default_factory=dict)  # by the backend's name
     last_event: int = 0  # number of the last applied event of the change log
+    event_is_stored: bool = False  # was there such a number?
     rows_complete_from: int = 0  # number of the event from which on all rows are stored
     rows: dict[bytes, bytes] = field(default_factory=dict)  # encoded (endpoint_rows.py), by record key
     learned: dict[bytes, LearnedPart] = field(default_factory=dict)
@@ -66,6 +67,7 @@
     elif record.kind == RecordKind.LAST_EVENT:
         numbers = record_types.unpack_event_numbers(value)
         state.last_event, state.rows_complete_from = numbers
+        state.event_is_stored = True
     elif record.kind == RecordKind.ROW:
         state.rows[record.key] = value
     elif record.kind == RecordKind.LEARNED:
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -18,6 +18,7 @@
 
 STORE = '(store (folder "store") (patience 1s))'  # far longer than a commit takes on a busy machine
 UPGRADE = '(upgrade (handover "h.sock") (limits (starting 5s) (warming 5s) (taking 1s) (committed 1s)))'
+SUPERVISED = ("--supervised",)
 DRAIN_GRACE = 1.0 + 0.05  # seconds after a drain, and the slack on sockets
 DURABLE = 0.5  # seconds in which what was heard is stored
 READY, LEAVING, GONE = 0, 1, 2  # states in frames
@@ -84,6 +85,12 @@
     return asked, words
 
 
+def worker_of(world):
+    """Return the process id of the gateway under a supervisor."""
+    (pid,) = [pid for pid in processes(str(world.path)) if pid != world.process.pid]
+    return pid
+
+
 # --- a store, and numbers that begin anew ---
 
 
@@ -219,6 +226,37 @@
     assert used(world) == ({1}, {b"200"})
 
 
+# --- a worker that its supervisor starts again: this life goes on, with the file of its start ---
+
+
+@pytest.mark.parametrize("how", [signal.SIGKILL, signal.SIGSEGV])
+def test_a_worker_that_is_started_again_sends_to_a_cache_that_drained_before(world, how):
+    """Guards against the supervisor's file, which is as old as the supervisor: nothing is sent by it until
+    the change log was read."""
+    world = world(serves(), serves(), forms=UPGRADE, words=SUPERVISED)
+    tell(world, 2, 0, LEAVING)
+    time.sleep(DRAIN_GRACE)
+    world.log.hold()
+    os.kill(worker_of(world), how)
+    world.told("serving on", 2)
+    assert used(world) == (set(), {b"503"})
+    world.log.released.set()
+    world.told("read to its end", 2)
+    assert used(world) == ({1}, {b"200"})
+
+
+def test_a_worker_that_is_started_again_with_a_store_serves_at_once_and_keeps_the_drain(world):
+    """Guards against a worker that waits for the log though the store has what it heard."""
+    world = world(serves(), serves(), forms=STORE + UPGRADE, words=SUPERVISED)
+    tell(world, 2, 0, LEAVING)
+    time.sleep(DRAIN_GRACE)
+    world.log.hold()
+    os.kill(worker_of(world), signal.SIGKILL)
+    world.told("serving on", 2)
+    assert used(world) == ({1}, {b"200"})
+    world.log.released.set()
+
+
 # --- upgrades: this life goes on, whatever number the file has ---
 
 
