What waits of the change log is applied together, so that reading it again stays short

Need: since a start with a store reads the change log from its configuration's event on.

Change: events wait in a queue of their own. While a log is being read to its end they are applied 20 ms apart, and of several changes to one backend only the last; changes that mean something one after the other stay apart (routing/list_coalescing.py). Once the log was read, an event is applied as soon as it comes, as before. The watch reads no further while 2,000 events wait, so that a long log takes no memory. A handover applies what waits before the state is exported.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -12,14 +12,18 @@
 from lilacloft.gateway.clock import TICKS_PER_MILLISECOND
 from lilacloft.gateway.configuration import parse_address
 from lilacloft.gateway.context import GatewayContext
+from lilacloft.gateway.received_events import ReceivedEvent, ReceivedEvents
 from lilacloft.log import logger
 from lilacloft.net.discovery_events import DiscoveryEvent
 from lilacloft.net.discovery_watch import DiscoveryWatch, WatchChange, WatchStatus, WatchTarget
 from lilacloft.routing.endpoint_entry import EndpointEntry
 from lilacloft.routing.host import Endpoint, ListMode
+from lilacloft.routing.list_coalescing import ListChange, coalesced
 from lilacloft.routing.list_reconciliation import ListReconciliation
 from lilacloft.routing.model import Backend
+from lilacloft.routing.units import Ticks
 
+APPLY_INTERVAL: Ticks = 200  # between two applications of events while a log is read to its end
 PURGE = "purge"  # an event kind; all others are endpoint lists, "full" or "delta"
 
 
@@ -34,6 +38,8 @@
         self.last_applied_event = configuration.last_applied_event
         # of the configuration's list with a stored one; None where there is nothing to reconcile
         self.reconciliation: ListReconciliation | None = None
+        self.received = ReceivedEvents()
+        self.applied_at: Ticks = 0  # when received events were applied last
         self.on_confirmed: Callable[[], None] = lambda: None
         gateway.discovery_watch = DiscoveryWatch(
             parse_address(configuration.changelog),
@@ -42,6 +48,7 @@
             configuration.name,
             self._watch_changed,
         )
+        gateway.discovery_watch.await_room = self.received.await_room
 
     def start(self) -> None:
         """Start to follow the change log. Its events after those in the configuration are not known yet."""
@@ -97,23 +104,64 @@
         self.on_confirmed()
 
     def _event_received(self, event: DiscoveryEvent, number: int) -> None:
-        """Post an event to the event loop; called in the change log's thread. Of the events that the
-        configuration includes already, only purges are applied again, as the store may lack them: an older
-        endpoint list must not be in effect even briefly."""
-        gateway = self.gateway
-        is_new = event[0] == PURGE or number > self.last_applied_event
-        gateway.loop.post(self._handle_event, event, number, gateway.discovery_watch.status, is_new)
+        """Have an event applied by the event loop; called in the change log's thread."""
+        received = ReceivedEvent(event, number, self.gateway.discovery_watch.status)
+        if self.received.add(received):
+            self.gateway.loop.post(self._events_wait)
 
-    def _handle_event(
-        self, event: DiscoveryEvent, number: int, feed_state: WatchStatus, is_new: bool
-    ) -> None:
-        """Apply an event of the change log if it is new, and have it stored and recorded."""
+    def _events_wait(self) -> None:
+        """Apply the events that wait; while the log is read to its end, after a while, as more will come."""
         gateway = self.gateway
-        replaced = self.apply_event(event, None, feed_state) if is_new else []
-        if gateway.store:
-            gateway.store.event_received(event, number, replaced)
-        if gateway.recorder:
-            gateway.recorder.discovery_event(event, number)
+        earliest = self.applied_at + APPLY_INTERVAL
+        if gateway.discovery_watch.status.current or gateway.time >= earliest:
+            self._apply_received()
+        else:
+            gateway.call_at(earliest, self._apply_received)
+
+    def apply_all_received(self) -> None:
+        """Apply all events that wait."""
+        while self.received:
+            self._apply_received()
+
+    def _apply_received(self) -> None:
+        """Apply the events that were received, and have them stored and recorded: first the purges, as they
+        show the offset of the change log's clock, then what remains of all changes of the list. Of the events
+        that the configuration includes already, only purges are applied again, as the store may lack them: an
+        older endpoint list must not be in effect even briefly."""
+        batch = self.received.take()
+        if not batch:
+            return
+        self.applied_at = self.gateway.time
+        if self.received:
+            self.gateway.loop.post(self._apply_received)
+        purges = [received for received in batch if received.event.kind == PURGE]
+        lists = [received for received in batch if received.event.kind != PURGE]
+        for received in purges:
+            self.apply_event(received.event, None, received.watch_status)
+            self._record(received.event, received.number)
+        status = batch[-1].watch_status
+        self._apply_lists([one for one in lists if one.number <= self.last_applied_event], None)
+        self._apply_lists([one for one in lists if one.number > self.last_applied_event], status)
+        if self.gateway.store:
+            self.gateway.store.events_applied(batch[-1].number)
+
+    def _apply_lists(self, received: list[ReceivedEvent], watch_status: WatchStatus | None) -> None:
+        """Apply endpoint lists and changes to them, and have them stored and recorded. `watch_status`: None
+        if the configuration has them already."""
+        changes = (
+            ListChange(one.event.kind, {entry.name: entry for entry in one.event.content}, one.number)
+            for one in received
+        )
+        for change in coalesced(changes):
+            event = DiscoveryEvent(change.mode, list(change.entries.values()))
+            replaced = self.apply_event(event, None, watch_status) if watch_status else []
+            if self.gateway.store:
+                self.gateway.store.list_changed(change.mode, [*replaced, *event.content], change.number)
+            self._record(event, change.number)
+
+    def _record(self, event: DiscoveryEvent, number: int) -> None:
+        if self.gateway.recorder:
+            self.gateway.recorder.discovery_event(event, number)
 
     def _watch_changed(self, change: WatchChange, target: WatchTarget) -> None:
         """Post a change of the watch, behind earlier events; called in the change log's thread."""
@@ -134,6 +182,7 @@
             case WatchChange.UNREACHABLE:
                 router.discovery_unreachable()
             case WatchChange.CAUGHT_UP:
+                self.apply_all_received()
                 logger.info("change log: read to its end, event {}", gateway.discovery_watch.last)
                 self._confirm_list()
                 router.discovery_caught_up()
--- a/lilacloft/handover/quiesce.py
+++ b/lilacloft/handover/quiesce.py
@@ -100,6 +100,7 @@
             self._pause_readers()
             self._end_unreadable_clients()
             self.process_events()
+            gateway.discovery.apply_all_received()
             if not should_continue():
                 return "the handover was aborted"
             if self._pause_writers():
--- a/lilacloft/net/discovery_watch.py
+++ b/lilacloft/net/discovery_watch.py
@@ -93,6 +93,7 @@
         self.target_changed = threading.Event()
         self.gate = threading.Lock()  # held while something is passed on; acquired by others to pause that
         self.sock: socket.socket | None = None
+        self.await_room: Callable[[], None] = lambda: None  # waits while too many events are unapplied
 
     def start(self) -> None:
         """Start the thread."""
@@ -179,6 +180,7 @@
                 if self.target_changed.is_set():  # `move` may have shut down another connection
                     return
                 self._receive(sock, target, deadline)
+                self.await_room()  # without the gate, which the event loop may wait for
                 self.unanswered = 0
                 if queries_left and self.last > last_queried and self._end_is_unknown(sock):
                     queries_left, last_queried = queries_left - 1, self.last
--- a/lilacloft/store/gateway_store.py
+++ b/lilacloft/store/gateway_store.py
@@ -322,15 +322,18 @@
             return
         self.gate.object_purged(key or group, purged_at)
 
-    def event_received(self, event: Any, number: int, replaced: Sequence[EndpointEntry] = ()) -> None:
-        """Handle an event of the change log after it was applied. `replaced`: entries of backends that are
-        gone by it, as others have taken their addresses."""
+    def list_changed(self, mode: str, entries: Sequence[EndpointEntry], number: int) -> None:
+        """Handle a list of the change log, or changes to it, after it was applied; `number`: of its event."""
         if self.relay is not None:
-            self.unwritten_events.append(functools.partial(self.event_received, event, number, replaced))
+            self.unwritten_events.append(functools.partial(self.list_changed, mode, entries, number))
+            return
+        self._write_rows(self.endpoint_rows.apply(mode, entries, number))
+
+    def events_applied(self, number: int) -> None:
+        """Handle that all events of the change log up to this one were applied."""
+        if self.relay is not None:
+            self.unwritten_events.append(functools.partial(self.events_applied, number))
             return
-        mode, payload = event
-        if mode != "purge":
-            self._write_rows(self.endpoint_rows.apply(mode, [*replaced, *payload], number))
         self.gate.events_applied(EventNumbers(number, self.endpoint_rows.complete_from))
 
     def list_confirmed(self, reported: Mapping[str, EndpointEntry], number: int) -> None:
