Each event is recorded with its own state, also where several are applied together

Since events that wait together are applied as one change, and their records were merged as well: of a drain and a return within a moment one record was left. Each is recorded again, with the status that it told, not the one in use afterwards.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -158,7 +158,8 @@
             replaced = self.apply_event(event, None, watch_status) if watch_status else []
             if self.gateway.store:
                 self.gateway.store.list_changed(change.mode, [*replaced, *event.content], change.number)
-            self._record(event, change.number)
+        for one in received:
+            self._record(one.event, one.number)
 
     def _record(self, event: DiscoveryEvent, number: int) -> None:
         """Record an event. Without its number if the log has not been read to its end since the start: it may
--- a/lilacloft/record/recorder.py
+++ b/lilacloft/record/recorder.py
@@ -226,9 +226,9 @@
             self.note(record_types.Purge(event=number, key=key, group=group, purged_at=ticks))
             return
         backends = self.gateway.backends
-        listed = [entry.name for entry in event.content if entry.name in backends]
+        listed = [entry for entry in event.content if entry.name in backends]
         removed = [entry for entry in event.content if entry.name not in backends]
-        rows = [self._backend_row(backends[name]) for name in listed]
+        rows = [self._listed_row(backends[entry.name], entry) for entry in listed]
         rows += [self._removed_row(entry) for entry in removed]
         whole = event.kind == ListMode.FULL
         self.note(record_types.BackendList(event=number, whole=whole, backends=rows))
@@ -238,6 +238,11 @@
         kind, zone = settings["kinds"][backend.kind], settings["zones"][backend.zone]
         return backend.name, kind, zone, backend.status, backend.started, backend.capacity
 
+    def _listed_row(self, backend: Backend, entry: EndpointEntry) -> record_types.BackendRow:
+        """Return the row of a listed backend with the status of an event; later ones may have changed it."""
+        name, kind, zone, _, started, capacity = self._backend_row(backend)
+        return name, kind, zone, int(entry.status), started, capacity
+
     def _removed_row(self, entry: EndpointEntry) -> record_types.BackendRow:
         settings = self.gateway.settings
         kind, zone = settings["kinds"][entry.kind], settings["zones"][entry.zone]
