A plan and a gateway's list are no longer compared by numbers of two counts

A plan says nothing of a backend that has changed since the list from which it was made. The gateway compared the number of its own last event with the planner's. Each has a count of its own, from 1 at each start: a gateway with higher numbers never applied a plan to a backend that had changed once, one with lower numbers applied plans that were made before.

Change: the gateway notes at a change which plan it held. A later plan is newer than the change if its issuer, in the same epoch, has applied a further event since, or if it was confirmed by a reply to a report sent so late that every planner must have heard (7 s by the protocol, and a report interval). Only numbers of one planner and epoch are compared.

What is lost: where a planner has a change before the gateway, its plan says nothing of that backend for 7.25 s.

--- a/lilacloft/control/follower.py
+++ b/lilacloft/control/follower.py
@@ -20,11 +20,13 @@
 from lilacloft.control.quota import MAX_LEASE
 from lilacloft.control.quota_client import QuotaClient
 from lilacloft.failover.local_failover import LocalFailover, SliceFailover
-from lilacloft.routing.units import Ticks
+from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
 
 REPORT_INTERVAL: Ticks = 2_500
 PLANNER_TIMEOUT: Ticks = 20_000  # without a reply, after which quota is requested from another planner
 MAX_REPLY_TIME: Ticks = 40_000  # replies to older reports are ignored
+# By the protocol a change of the list counts as known everywhere after this time; and a planner's tick.
+MAX_LIST_DELAY: Ticks = 7 * TICKS_PER_SECOND + REPORT_INTERVAL
 
 
 @dataclass(frozen=True)
@@ -50,6 +52,15 @@
     uncached_rate: float = 0.0  # of fills that bypass the caches
 
 
+@dataclass(frozen=True)
+class BackendChange:
+    """A change of a backend in this gateway's list, and the plan that was in use then."""
+
+    at: Ticks
+    plan_id: PlanId
+    list_version: int  # of that plan; counts the planner's events, not this gateway's
+
+
 @dataclass(frozen=True)
 class PlanEffect:
     """What the control plane sets for the gateway's routing decisions now."""
@@ -83,7 +94,8 @@
         self.load = LoadRates()
         self.lease, self.plan = PlanLease(), Plan(PlanId())
         self.list_version = 0
-        self._changed_at: dict[str, int] = {}  # list version of the last change, by backend
+        self._confirmed_at: Ticks = now  # when the last report was sent whose reply confirmed the plan
+        self._last_changes: dict[str, BackendChange] = {}  # by backend
         self._report_numbers = dict.fromkeys(self.planners, 0)
         self._reports_sent: dict[str, dict[int, Ticks]] = {planner: {} for planner in self.planners}
         self._incarnations: dict[str, int] = {}  # of planners
@@ -107,8 +119,9 @@
         """Record the backends that have changed, as of a change log number, and update those that are
         cold."""
         self.list_version = max(self.list_version, list_version)
+        change = BackendChange(now, self.plan.plan_id, self.plan.list_version)
         for backend in changed:
-            self._changed_at[backend] = list_version
+            self._last_changes[backend] = change
         self.quota.update_cold(cold, now)
 
     # --- reports and replies ---
@@ -179,11 +192,12 @@
         if plan is None and delta is not None:
             if delta.plan_id == self.lease.plan_id == delta.base:
                 self.lease.accept(delta.plan_id, requested_at, reply.duration, now)
+                self._confirmed_at = max(self._confirmed_at, requested_at)
                 return False
             plan = apply_delta(self.plan, delta)
         if plan is None or not self.lease.accept(plan.plan_id, requested_at, reply.duration, now):
             return False
-        self.plan = plan
+        self.plan, self._confirmed_at = plan, requested_at
         self.plans += 1
         return True
 
@@ -209,8 +223,15 @@
         )
 
     def _is_outdated(self, backend: str) -> bool:
-        """Return whether a backend has changed since the list version from which the plan was made."""
-        return self._changed_at.get(backend, -1) > self.plan.list_version
+        """Return whether the plan may have been made before a backend has changed. The planner's events have
+        numbers of their own, so it is known to be newer where its issuer has applied a further event since,
+        or where every planner must have heard of the change."""
+        change = self._last_changes.get(backend)
+        if change is None or self._confirmed_at >= change.at + MAX_LIST_DELAY:
+            return False
+        plan = self.plan
+        issuer, issuer_then = ((plan_id.planner, plan_id.epoch) for plan_id in (plan.plan_id, change.plan_id))
+        return issuer != issuer_then or plan.list_version <= change.list_version
 
     def _ejections(self) -> dict[str, Ticks]:
         plan, name = self.plan, self.settings.name
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -393,6 +393,41 @@
     )
 
 
+@pytest.mark.parametrize("planners_number", [1, 50])
+@pytest.mark.parametrize("gateways_number", [2, 90])
+def test_a_plan_of_an_older_list_is_told_by_numbers_of_two_counts(planners_number, gateways_number):
+    """Guards against a plan that says something of a backend that has changed since, and against one that
+    never does again: the events of a planner and of a gateway have numbers of their own."""
+    planner, gateways = make_planner(), [make_follower(f"f{number}") for number in range(2)]
+    planner.update_backends(planner.backends.values(), planners_number)
+
+    def everybody_reports(now):
+        for each in gateways:
+            each.now = now
+            for _ in range(2):
+                each.record_attempt("b1", "failed")
+            exchange_report(each, planner, now)
+
+    everybody_reports(10)
+    planner.tick(2_500)
+    gateway = gateways[0]
+    everybody_reports(2_600)
+    assert set(gateway.effect(2_700).ejections) == {"b1"}
+    gateway.update_list(["b1"], gateways_number, [], 2_800)
+    everybody_reports(5_000)  # the planner has not heard of the change
+    assert gateway.effect(5_100).ejections == {}
+    planner.update_backends(planner.backends.values(), planners_number + 1)
+    planner.tick(7_500)
+    everybody_reports(7_600)
+    assert set(gateway.effect(7_700).ejections) == {"b1"}
+    gateway.update_list(["b1"], gateways_number + 1, [], 7_800)  # an event that the planner had before
+    for now in range(10_000, 90_000, 2_500):
+        planner.receive_gossip(GossipMessage("p1", 1, 0, 0), now)
+        planner.tick(now)
+        everybody_reports(now)
+    assert set(gateway.effect(87_600).ejections) == {"b1"}
+
+
 def test_backends_are_not_ejected_if_more_than_half_of_a_location_fails():
     planner, gateways = make_planner(backends=4), [make_follower(f"f{number}") for number in range(3)]
     for gateway in gateways:
