A cache that is listed behind the store's restoring keeps its recent work

The work of slow starts that a store holds waits, since, for backends that are listed after the start. Found by reading; no caller has met it.

Cause: Discovery._apply_entries told the store of listed backends only while the reconciliation was active, which has ended by then.

Test: test_work_of_a_slow_start_is_forgotten_for_a_cache_that_is_listed_after_the_start failed 2 of 2 before.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -229,7 +229,7 @@
             for *row, started in entries
         ]
         replaced = self.apply_endpoints(mode, rows)
-        if self.is_reconciling and self.gateway.store:
+        if self.gateway.store:
             self.gateway.store.backends_listed([name for name, *_ in rows])
         return replaced
 
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -11,19 +11,24 @@
 
 import pytest
 
+from lilacloft.gateway.gateway import Gateway
+from lilacloft.net.discovery_events import DiscoveryEvent
 from lilacloft.net.resp import parse_fields
 from lilacloft.record.reader import read
+from lilacloft.routing.model import BackendStatus
+from lilacloft.store.gateway_store import GatewayStore
+from lilacloft.store.record_types import RecordKind, pack_work
 from lilacloft.timeline.clocks import estimate_clocks, find_anchors, run_anchors
-from rigs.inprocess import until
+from rigs.inprocess import InProcessWorld, until
 from rigs.scene import write_worlds
-from rigs.stands import Log, processes, record, serves
+from rigs.stands import Log, made, processes, record, serves
 
 STORE = '(store (folder "store") (patience 1s))'  # far longer than a commit takes on a busy machine
 UPGRADE = '(upgrade (handover "h.sock") (limits (starting 5s) (warming 5s) (taking 1s) (committed 1s)))'
 SUPERVISED = ("--supervised",)
 DRAIN_GRACE = 1.0 + 0.05  # seconds after a drain, and the slack on sockets
 DURABLE = 0.5  # seconds in which what was heard is stored
-READY, LEAVING, GONE = 0, 1, 2  # states in frames
+READY, LEAVING = 0, 1  # states in frames
 KEY = 9
 
 
@@ -33,6 +38,11 @@
         yield make
 
 
+@pytest.fixture
+def in_process(tmp_path):
+    yield from made(InProcessWorld, tmp_path)
+
+
 def tell(world, number, cache, state):
     world.log.add(number, 2, record(cache + 1, world.caches[cache].port, state=state))
 
@@ -308,6 +318,47 @@
     until(lambda: not processes(str(world.path)))
 
 
+# --- slow starts ---
+
+
+@pytest.mark.parametrize("listed_by", ["the end of the log", "an event"])
+def test_work_of_a_slow_start_is_forgotten_for_a_cache_that_is_listed_after_the_start(
+    in_process, tmp_path, listed_by
+):
+    """Guards against a cold cache that gets its budget again: it was listed after the store was restored."""
+    config = {**in_process(serves()).config, "listen": "127.0.0.1:0"}
+    (targets,) = [result["fleet"]["targets"] for result in config["known"]["results"]]
+    targets[0]["boot_ms"] = int(time.time() * 1000) - 200
+    name, folder = targets[0]["uid"], str(tmp_path / "store")
+
+    def start():
+        gateway = Gateway(config)
+        store = GatewayStore(gateway, folder)
+        store.start()
+        return gateway, store
+
+    def close(gateway, store):
+        store.close()
+        gateway.downstream.sock.close()
+
+    gateway, store = start()
+    entry = next(iter(gateway.discovery.reconciliation.reported.values()))
+    store.list_changed("delta", [entry._replace(status=BackendStatus.GONE)], 2)
+    store.object_purged("", 7, gateway.time)  # shows the offset of the log's clock
+    work = pack_work([(gateway.time, 3.0)])
+    store.write_record(RecordKind.SLOW_START, name.encode(), work)
+    close(gateway, store)
+    gateway, store = start()
+    assert name not in gateway.backends
+    if listed_by == "an event":
+        gateway.discovery.apply_event(DiscoveryEvent("delta", [entry]))
+        assert name not in gateway.backends
+    gateway.discovery._confirm_list()
+    sent = gateway.backends[name].recent_work
+    close(gateway, store)
+    assert sent and sum(transfer_time for _, transfer_time in sent) >= 3.0
+
+
 # --- records ---
 
 
