A purge that was received is applied at once, also while the change log is read

Seen: the whole script on beside 3 busy processes failed once, test_a_change_log_down_at_startup_comes_back_with_a_drain_and_a_purge: a request right after a purge was read accepted a copy of 150 ms, the limit while the log is unread, where the purge was 45 ms ago.

Cause: since all events wait up to 20 ms while a log is read to its end, purges too.

Change: purges wait in a queue of their own and are applied at the loop's next turn; only changes of the list wait to be applied together. The stored number follows once neither kind waits.

Test: test_a_purge_waits_behind_changes_of_the_list failed 1 of 1 before. Ends, lives, catch-up, read barrier, store, clocks and upgrades of the old process: 447 passed.

--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -38,7 +38,9 @@
         self.last_applied_event = configuration.last_applied_event
         # of the configuration's list with a stored one; None where there is nothing to reconcile
         self.reconciliation: ListReconciliation | None = None
-        self.received = ReceivedEvents()
+        self.received = ReceivedEvents()  # lists and changes to them
+        self.received_purges = ReceivedEvents()  # applied at once
+        self.last_number = 0  # of the events that were applied
         self.applied_at: Ticks = 0  # when received events were applied last
         self.was_read = False  # to its end, since the start
         self.on_confirmed: Callable[[], None] = lambda: None
@@ -49,7 +51,12 @@
             configuration.name,
             self._watch_changed,
         )
-        gateway.discovery_watch.await_room = self.received.await_room
+        gateway.discovery_watch.await_room = self._await_room
+
+    def _await_room(self) -> None:
+        """Wait while too many events are not applied; called in the change log's thread."""
+        self.received.await_room()
+        self.received_purges.await_room()
 
     def start(self) -> None:
         """Start to follow the change log. Its events after those in the configuration are not known yet."""
@@ -107,11 +114,14 @@
     def _event_received(self, event: DiscoveryEvent, number: int) -> None:
         """Have an event applied by the event loop; called in the change log's thread."""
         received = ReceivedEvent(event, number, self.gateway.discovery_watch.status)
-        if self.received.add(received):
+        if event.kind == PURGE:
+            if self.received_purges.add(received):
+                self.gateway.loop.post(self._apply_purges)
+        elif self.received.add(received):
             self.gateway.loop.post(self._events_wait)
 
     def _events_wait(self) -> None:
-        """Apply the events that wait; while the log is read to its end, after a while, as more will come."""
+        """Apply the lists that wait; while the log is read to its end, after a while, as more will come."""
         gateway = self.gateway
         earliest = self.applied_at + APPLY_INTERVAL
         if gateway.discovery_watch.status.current or gateway.time >= earliest:
@@ -121,30 +131,42 @@
 
     def apply_all_received(self) -> None:
         """Apply all events that wait."""
-        while self.received:
+        while self.received or self.received_purges:
             self._apply_received()
 
+    def _apply_purges(self) -> None:
+        """Apply the purges that were received, and have them stored and recorded."""
+        batch = self.received_purges.take()
+        for received in batch:
+            self.apply_event(received.event, None, received.watch_status)
+            self._record(received.event, received.number)
+        if self.received_purges:
+            self.gateway.loop.post(self._apply_purges)
+        if batch:
+            self._note_applied(batch[-1].number)
+
+    def _note_applied(self, number: int) -> None:
+        """Have the number of the last applied event stored, unless earlier ones wait."""
+        self.last_number = max(self.last_number, number)
+        if self.gateway.store and not self.received and not self.received_purges:
+            self.gateway.store.events_applied(self.last_number)
+
     def _apply_received(self) -> None:
         """Apply the events that were received, and have them stored and recorded: first the purges, as they
         show the offset of the change log's clock, then what remains of all changes of the list. Of the events
         that the configuration includes already, only purges are applied again, as the store may lack them: an
         older endpoint list must not be in effect even briefly."""
+        self._apply_purges()
         batch = self.received.take()
         if not batch:
             return
         self.applied_at = self.gateway.time
         if self.received:
             self.gateway.loop.post(self._apply_received)
-        purges = [received for received in batch if received.event.kind == PURGE]
-        lists = [received for received in batch if received.event.kind != PURGE]
-        for received in purges:
-            self.apply_event(received.event, None, received.watch_status)
-            self._record(received.event, received.number)
         status = batch[-1].watch_status
-        self._apply_lists([one for one in lists if one.number <= self.last_applied_event], None)
-        self._apply_lists([one for one in lists if one.number > self.last_applied_event], status)
-        if self.gateway.store:
-            self.gateway.store.events_applied(batch[-1].number)
+        self._apply_lists([one for one in batch if one.number <= self.last_applied_event], None)
+        self._apply_lists([one for one in batch if one.number > self.last_applied_event], status)
+        self._note_applied(batch[-1].number)
 
     def _apply_lists(self, received: list[ReceivedEvent], watch_status: WatchStatus | None) -> None:
         """Apply endpoint lists and changes to them, and have them stored and recorded. `watch_status`: None
--- a/tests/test_list_coalescing.py
+++ b/tests/test_list_coalescing.py
@@ -12,6 +12,7 @@
 from lilacloft.net.connection import Connection
 from lilacloft.routing.list_coalescing import ListChange, coalesced
 from lilacloft.routing.pools import BackendPools
+from lilacloft.routing.router import Router
 from rigs.inprocess import InProcessWorld, until
 from rigs.stands import made, record, serves
 from tests.test_endpoint_rows import apply, random_events, replayed, row
@@ -91,6 +92,25 @@
     assert statuses == [2, 2]
 
 
+def test_a_purge_waits_behind_changes_of_the_list(in_process, monkeypatch):
+    """Guards against a purge that was received and is not in force yet."""
+    monkeypatch.setattr(discovery, "APPLY_INTERVAL", 100_000)
+    world = in_process(serves())
+    watch = world.owner.discovery_watch
+    world.log.hold()  # the log does not show its end
+    world.run_on_owner(lambda: setattr(watch, "status", watch.status._replace(current=False)))
+    purged = []
+    monkeypatch.setattr(Router, "object_purged", lambda router, *purge: purged.append(purge))
+    for number in (2, 3):
+        world.log.add(number, 2, record(1, world.caches[0].port, state=number % 2))
+        until(lambda: watch.last == number)
+        world.run_on_owner(lambda: None)
+    world.log.add(4, 3, (9).to_bytes(8, "big") + int(time.time() * 1000).to_bytes(8, "big"))
+    until(lambda: watch.last == 4)
+    world.run_on_owner(lambda: None)
+    assert len(world.owner.discovery.received) == 1 and len(purged) == 1
+
+
 def test_a_log_that_is_read_faster_than_its_events_are_applied_fills_the_memory(monkeypatch):
     """Guards against a queue of events that grows without a bound."""
     monkeypatch.setattr(received_events, "MAX_WAITING", 3)
