--- a/lilacloft/control/follower.py
+++ b/lilacloft/control/follower.py
@@ -20,13 +20,14 @@
 from lilacloft.control.quota import MAX_LEASE
 from lilacloft.control.quota_client import QuotaClient
 from lilacloft.failover.local_failover import LocalFailover, SliceFailover
-from lilacloft.routing.units import TICKS_PER_SECOND, Ticks
+from lilacloft.routing.catch_up import MAX_KNOWN_DELAY_ABSENT
+from lilacloft.routing.units import Ticks
 
 REPORT_INTERVAL: Ticks = 2_500
 PLANNER_TIMEOUT: Ticks = 20_000  # without a reply, after which quota is requested from another planner
 MAX_REPLY_TIME: Ticks = 40_000  # replies to older reports are ignored
 # By the protocol a change of the list counts as known everywhere after this time; and a planner's tick.
-MAX_LIST_DELAY: Ticks = 7 * TICKS_PER_SECOND + REPORT_INTERVAL
+MAX_LIST_DELAY: Ticks = MAX_KNOWN_DELAY_ABSENT + REPORT_INTERVAL
 
 
 @dataclass(frozen=True)
--- a/lilacloft/gateway/discovery.py
+++ b/lilacloft/gateway/discovery.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING
 
 from lilacloft.clock_offset import ClockOffset, WatchContext
 from lilacloft.gateway.clock import TICKS_PER_MILLISECOND
@@ -19,10 +20,12 @@
 from lilacloft.routing.endpoint_entry import EndpointEntry
 from lilacloft.routing.host import Endpoint, ListMode
 from lilacloft.routing.list_coalescing import ListChange, coalesced
-from lilacloft.routing.list_reconciliation import ListReconciliation
 from lilacloft.routing.model import Backend
 from lilacloft.routing.units import Ticks
 
+if TYPE_CHECKING:
+    from lilacloft.routing.list_reconciliation import ListReconciliation
+
 APPLY_INTERVAL: Ticks = 200  # between two applications of events while a log is read to its end
 PURGE = "purge"  # an event kind; all others are endpoint lists, "full" or "delta"
 
@@ -36,6 +39,7 @@
         self.gateway = gateway
         self.clock_offset = ClockOffset()
         self.last_applied_event = configuration.last_applied_event
+        self.configured_lists: list[DiscoveryEvent] = []  # until the start
         # of the configuration's list with a stored one; None where there is nothing to reconcile
         self.reconciliation: ListReconciliation | None = None
         self.received = ReceivedEvents()  # lists and changes to them
@@ -60,16 +64,15 @@
 
     def start(self) -> None:
         """Start to follow the change log. Its events after those in the configuration are not known yet."""
-        if not self.is_reconciling:
-            self.reconciliation = None
+        self.configured_lists = []
         self.gateway.router.discovery_begins()
         self.gateway.discovery_watch.start()
 
     def apply_configured_events(self, events: list[DiscoveryEvent]) -> None:
         """Apply the events that the configuration includes: purges first, as they show the offset of the
         change log's clock."""
-        self.reconciliation = ListReconciliation()
-        entries = [entry for kind, content in events if kind != PURGE for entry in content]
+        self.configured_lists = [event for event in events if event.kind != PURGE]
+        entries = [entry for _, content in self.configured_lists for entry in content]
         starts = (started * TICKS_PER_MILLISECOND for *_, started in entries)
         self.clock_offset.record_configured_starts(self.gateway.clock.time, starts)
         for event in sorted(events, key=lambda event: event[0] != PURGE):
@@ -88,18 +91,22 @@
     @property
     def is_reconciling(self) -> bool:
         """Whether the list in use is restricted by a stored one until the change log was read to its end."""
-        return self.reconciliation is not None and self.reconciliation.is_active
+        return self.reconciliation is not None
 
     def reconcile(self, stored: Iterable[EndpointEntry], is_complete: bool) -> None:
         """Restrict the configured list by a stored one; see `ListReconciliation.begin`. Called before the
         start."""
-        if self.reconciliation:
-            self._apply_entries(ListMode.DELTA, self.reconciliation.begin(stored, is_complete), None)
+        from lilacloft.routing.list_reconciliation import ListReconciliation
+
+        self.reconciliation = ListReconciliation()
+        for mode, entries in self.configured_lists:
+            self.reconciliation.report(mode, entries)
+        self._apply_entries(ListMode.DELTA, self.reconciliation.begin(stored, is_complete), None)
 
     def _confirm_list(self) -> None:
         """Use the reported list as it is, once the change log was read to its end."""
         reconciliation, self.reconciliation = self.reconciliation, None
-        if reconciliation is None or not reconciliation.is_active:
+        if reconciliation is None:
             return
         changes = reconciliation.confirm()
         logger.info("change log: the list is confirmed, {} backends have changed", len(changes))
--- a/lilacloft/routing/list_reconciliation.py
+++ b/lilacloft/routing/list_reconciliation.py
@@ -40,6 +40,14 @@
     )
 
 
+def allowed(reported: EndpointEntry, stored: EndpointEntry | None, stored_is_complete: bool) -> EndpointEntry:
+    """Return the entry to use for a reported one. `stored`: of the same backend, None if there is none;
+    `stored_is_complete`: a backend without one is not used."""
+    if stored is not None:
+        return restricted(reported, stored)
+    return gone(reported) if stored_is_complete else reported
+
+
 class ReportedChange(NamedTuple):
     """What a reported event means."""
 
@@ -51,9 +59,8 @@
     """The reported and the stored list of one process, until the change log was read to its end."""
 
     def __init__(self) -> None:
-        """Begin with two empty lists, and without a stored one that matters."""
+        """Begin with two empty lists."""
         self.reported: dict[str, EndpointEntry] = {}  # also of backends that are gone
-        self.is_active = False  # is there a stored list, and may it be newer than the reported one?
         self._stored: dict[str, EndpointEntry] = {}
         self._stored_is_complete = False
         self._stored_names: dict[tuple[str, int], str] = {}  # of the stored backends that are not gone
@@ -66,7 +73,6 @@
         `is_complete`: a backend without a stored entry was not listed any more, or it is not known whether it
         was.
         """
-        self.is_active = True
         self._stored = {entry.name: entry for entry in stored}
         self._stored_is_complete = is_complete
         self._stored_names = {entry.address: entry.name for entry in self._stored.values() if entry.status}
@@ -87,9 +93,7 @@
     def confirm(self) -> list[EndpointEntry]:
         """Handle that the change log was read to its end: the reported list alone counts from now on. Return
         the changes of the list in use."""
-        changes = [entry for entry in self.reported.values() if self._used(entry) != entry]
-        self.is_active = False
-        return changes
+        return [entry for entry in self.reported.values() if self._used(entry) != entry]
 
     def _record(self, entry: EndpointEntry) -> list[EndpointEntry]:
         """Record a reported entry; return the entry of another backend whose address it has taken, if any."""
@@ -107,12 +111,6 @@
         return [self.reported[replaced_name]]
 
     def _used(self, entry: EndpointEntry) -> EndpointEntry:
-        """Return the entry to use for a reported one."""
-        if not self.is_active:
-            return entry
-        stored = self._stored.get(entry.name)
         if self._stored_names.get(entry.address, entry.name) != entry.name:
             return gone(entry)
-        if stored is None:
-            return gone(entry) if self._stored_is_complete else entry
-        return restricted(entry, stored)
+        return allowed(entry, self._stored.get(entry.name), self._stored_is_complete)
--- a/lilacloft/store/endpoint_rows.py
+++ b/lilacloft/store/endpoint_rows.py
@@ -25,7 +25,7 @@
 
 from lilacloft.routing.endpoint_entry import EndpointEntry
 from lilacloft.routing.host import ListMode
-from lilacloft.routing.list_reconciliation import gone, restricted
+from lilacloft.routing.list_reconciliation import allowed, gone
 
 FULL_LIST_KEY = b"#full"  # record with the number of the last full list; not a valid backend name
 
@@ -102,12 +102,12 @@
 
     def _merged(self, row: StoredRow) -> StoredRow:
         """Return the row to store for a received one."""
-        stored = self.rows.get(row.entry.name)
         if self.is_confirmed:
             return row
-        if stored is None:
-            return StoredRow(self.last_full, gone(row.entry)) if self._began_complete else row
-        return StoredRow(max(row.number, stored.number), restricted(row.entry, stored.entry))
+        stored = self.rows.get(row.entry.name)
+        number = stored.number if stored else self.last_full
+        entry = allowed(row.entry, stored.entry if stored else None, self._began_complete)
+        return StoredRow(max(row.number, number), entry)
 
     def restore(self, stored: Mapping[bytes, StoredRow], complete_from: int) -> None:
         """Load the rows of a store, by key."""
--- a/tests/test_endpoint_rows.py
+++ b/tests/test_endpoint_rows.py
@@ -106,7 +106,7 @@
         """Read all events and the log's heartbeat behind them."""
         for _ in self.read(len(self.events)):
             pass
-        if self.reconciliation.is_active:
+        if not self.rows.is_confirmed:
             apply(self.used, "delta", self.reconciliation.confirm())
             self.store.write(self.rows.confirm(self.reconciliation.reported, len(self.events)))
 
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -342,7 +342,7 @@
         gateway.downstream.sock.close()
 
     gateway, store = start()
-    entry = next(iter(gateway.discovery.reconciliation.reported.values()))
+    entry = gateway.discovery.configured_lists[0].content[0]
     store.list_changed("delta", [entry._replace(status=BackendStatus.GONE)], 2)
     store.object_purged("", 7, gateway.time)  # shows the offset of the log's clock
     work = pack_work([(gateway.time, 3.0)])
