The rig abandons the dispatches of a cache that it kills before it resets them

Cause: the rig's. A killed cache resets its connections, and the thread that serves each writes that its dispatches are over once it has a turn; a gateway that has seen the reset may have sent elsewhere by then. A random reset writes its entry before already; a kill does so now. The check is as it was.

--- a/rigs/scene.py
+++ b/rigs/scene.py
@@ -154,6 +154,14 @@
         self.buffers.pop(sock, None)
         sock.close()
 
+    def break_off(self, reset: bool = True) -> None:
+        """Close all connections; first abandon the dispatches on them, as a gateway that sees a connection
+        end may send elsewhere before the thread that serves it has."""
+        for sock in list(self.socks):
+            if sock in self.numbers:
+                self._abandon_dispatches(self.numbers[sock], time.time())
+        super().break_off(reset)
+
     def _abandon_dispatches(self, number: int, closed_at: float) -> None:
         """Abandon the dispatches that are open on a connection. Called before this backend resets a
         connection, as a gateway that has seen the reset may send elsewhere at once."""
