Test: the new process at an address listens before the old connections end

Traced by what the world prints since: two attempts, the second 1 ms before, the cache ejected after a refused connection. The test ended the connections before the other process listened, so the repeat was refused at times, which is another case.

--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -20,16 +20,17 @@
 
 
 def replace(world, says):
-    """End the process of the first cache, which resets its connections, and start another at its address."""
+    """End the process of the first cache, which resets its connections, and start another at its address. The
+    other listens before the connections end: a connection that is refused is another case."""
     old = world.caches[0]
     old.sock.shutdown(socket.SHUT_RDWR)
     old.sock.close()
+    new = Stand(says, port=old.port)
     for sock in list(old.socks):
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             sock.shutdown(socket.SHUT_RD)
         sock.close()
-    new = Stand(says, port=old.port)
     world.caches.append(new)
     return new
 
