Test: the change log of a draining process sends heartbeats while it lives

Both are the tests': - The stand-in log sends one heartbeat at the beginning. Where the successor took over 2 s to start, the old process took the silence for the log's end and followed it anew, as it should; the failed run's log has "change log: timed out after event 1" 2.0 s after the start. The log sends a heartbeat every 0.5 s now, as the protocol has it. - The watch's own status is that of the connection before the pause until it has connected again, and the test took it for the new one's. It waits until the limit is lifted.

--- a/tests/test_draining_process.py
+++ b/tests/test_draining_process.py
@@ -16,7 +16,7 @@
 
 from lilacloft.handover.quiesce import Quiescer
 from lilacloft.net.connection import Connection
-from lilacloft.net.discovery_watch import DiscoveryWatch
+from lilacloft.net.discovery_watch import HEARTBEAT_INTERVAL, DiscoveryWatch
 from lilacloft.net.resp import encode, parse_fields
 from lilacloft.record import record_types
 from lilacloft.record.reader import read
@@ -41,8 +41,23 @@
 
 @pytest.fixture
 def world(tmp_path):
+    """Creates worlds whose change log sends heartbeats: a gateway follows a silent one anew after 2 s, and an
+    upgrade may take longer."""
+    over = threading.Event()
+
+    def send_heartbeats(log):
+        while not over.wait(HEARTBEAT_INTERVAL / 2):
+            log.add(0, 0, b"")
+
     with write_worlds(tmp_path, limits=LIMITS) as make:
-        yield make
+
+        def make_with_heartbeats(*caches, **more):
+            world = make(*caches, **more)
+            threading.Thread(target=send_heartbeats, args=(world.log,), daemon=True).start()
+            return world
+
+        yield make_with_heartbeats
+        over.set()
 
 
 class Draining:
@@ -230,6 +245,8 @@
     world.run_on_owner(quiescer.resume_all)
     assert_filled_anew(asker, 0.3)
     late_watch.set()
-    until(lambda: world.owner.discovery_watch.last == 2 and world.owner.discovery_watch.status.current)
-    world.run_on_owner(lambda: None)
+    # the watch's own status may still be that of the connection from before the pause
+    catch_up = world.owner.router.freshness.catch_up
+    until(lambda: world.run_on_owner(lambda: catch_up.unread_since is None))
+    assert world.owner.discovery_watch.last == 2
     assert_only_purged_copies_are_limited(asker, copies)
