Test: the client of an attempt that waits for a connection is kept

The test kept no reference to its client, so that its connection was closed at once, and the gateway rejected the request where it saw the end first: "rejected: CLIENT_LEFT, 0 attempts". The connection stays open now.

The in-process world printed the rejection of a finished request, which does nothing.

--- a/rigs/inprocess.py
+++ b/rigs/inprocess.py
@@ -81,6 +81,8 @@
         router, reject = self.owner.router, self.owner.router.reject
 
         def print_and_reject(request, reason):
+            if request.finished:
+                return
             waited = (router.host.now() - request.sent_at) / 10
             states = [
                 (backend.name, int(backend.status), backend.ejected, backend.consecutive_failures)
--- a/tests/test_state_transfer.py
+++ b/tests/test_state_transfer.py
@@ -309,7 +309,8 @@
     its own connection comes up before it exits."""
     monkeypatch.setattr(Connection, "movable", True)
     world = in_process(silent)
-    world.asker().ask()
+    waiting = world.asker()  # keeps a reference, as otherwise the connection is closed at once
+    waiting.ask()
     assert late.begun.acquire(timeout=5)
     quiescer = Quiescer(world.owner)
 
