Test: the client of a cache that floods answers is kept

The same fault as in test_state_transfer: without a reference its connection was closed at once, and the request not sent where the gateway saw the end first. Nothing seen of it so far. Without the backlog's bounds the test fails as before.

--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -254,7 +254,8 @@
     """Guards against a cache that sends more than it was asked for, as its answers pile up in the queue."""
     floods = FloodsAnswers(count=400)
     world = in_process(floods)
-    world.asker().ask()
+    asker = world.asker()  # keeps a reference, as otherwise the connection is closed at once
+    asker.ask()
     until(lambda: world.held()["out"])
     go = world.stall()
     floods.sent.wait(1.0)  # enough for all 96 MB, without a bound
