Tests wait until the event loop knows that the change log was read

The watch's status says so a moment before the event loop is told, and tests that went by it took the limit of ages for one that stays: the in-process world at its start, and three tests of test_catch_up.

--- a/rigs/inprocess.py
+++ b/rigs/inprocess.py
@@ -73,7 +73,7 @@
         self.thread.start()
         self.log.since.get(timeout=5)
         if self.log.released.is_set():
-            until(lambda: self.owner.discovery_watch.status.current)
+            self.wait_until_read()
         self.run_on_owner(lambda: None)  # clients can connect, and the events of the change log are applied
 
     def _print_rejections(self):
@@ -99,6 +99,11 @@
         self.owner.post(lambda: told.put(what()))
         return told.get(timeout=5)
 
+    def wait_until_read(self):
+        """Wait until the event loop knows that the change log was read to its end: later than the watch."""
+        catch_up = self.owner.router.freshness.catch_up
+        until(lambda: self.run_on_owner(lambda: catch_up.unread_since is None))
+
     def held(self):
         return self.run_on_owner(self.owner.open_resources)
 
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -232,8 +232,7 @@
     assert_filled_anew(asker, STOPPED)
     assert not world.owner.router.freshness.purges, "nothing was read"
     world.log.released.set()
-    until(lambda: world.owner.discovery_watch.status.current)
-    world.run_on_owner(lambda: None)
+    world.wait_until_read()
     assert_only_purged_copies_are_limited(asker, copies)
 
 
@@ -363,8 +362,7 @@
     asker = world.asker()
     assert fetch(asker) == NEW and copies.asked_ages[-1] == LIMIT / SEC
     world.log.released.set()
-    until(lambda: world.owner.discovery_watch.status.current)
-    world.run_on_owner(lambda: None)
+    world.wait_until_read()
     assert_only_purged_copies_are_limited(asker, copies)
 
 
@@ -446,8 +444,8 @@
     world.log.__class__ = AnswersLate
     world.log.frames.append(purge())
     world.log.break_off()
-    until(lambda: world.owner.discovery_watch.status.current and world.owner.discovery_watch.last == 2)
-    world.run_on_owner(lambda: None)
+    until(lambda: world.owner.discovery_watch.last == 2)
+    world.wait_until_read()
     assert_only_purged_copies_are_limited(world.asker(), copies)
     assert world.owner.discovery_watch.unanswered == 0
 
--- a/tests/test_draining_process.py
+++ b/tests/test_draining_process.py
@@ -245,8 +245,6 @@
     world.run_on_owner(quiescer.resume_all)
     assert_filled_anew(asker, 0.3)
     late_watch.set()
-    # the watch's own status may still be that of the connection from before the pause
-    catch_up = world.owner.router.freshness.catch_up
-    until(lambda: world.run_on_owner(lambda: catch_up.unread_since is None))
+    world.wait_until_read()
     assert world.owner.discovery_watch.last == 2
     assert_only_purged_copies_are_limited(asker, copies)
