One piece of code sends the heartbeats of a stand-in change log

The world of test_draining_process had its own loop for it since, though the fleet of rigs.bridge had one: `Log.send_heartbeats` serves both.

--- a/rigs/bridge.py
+++ b/rigs/bridge.py
@@ -84,7 +84,7 @@
         self.checker = NullChecker()
         self.remote = RemoteGateway(self)
         self.queue: queue.SimpleQueue[tuple[Any, ...]] = queue.SimpleQueue()
-        self.over = False
+        self.over = threading.Event()
         self.out: dict[tuple[Any, bytes], Dispatch] = {}
         self.numbered = {f"s-{place:08x}": box for place, box in enumerate(self.boxes, 1)}
         self.stands = {uid: Stand(self._handler(box)) for uid, box in self.numbered.items()}
@@ -204,7 +204,7 @@
 
     def run_backends(self) -> None:
         """The thread that runs all backends: handles messages and due events."""
-        while not self.over:
+        while not self.over.is_set():
             now = START + int((time.time() - self.began) * SECOND)
             self.events.run(now)
             wait = (self.events.heap[0][0] - now) / SECOND if self.events.heap else 0.1
@@ -215,12 +215,6 @@
             self.events.run(START + int((time.time() - self.began) * SECOND))
             self._handle_message(*message)
 
-    def send_heartbeats(self) -> None:
-        """Send a heartbeat of the change log every half second."""
-        while not self.over:
-            time.sleep(0.5)
-            self.change.add(0, 0, b"")
-
     def config(self, number: int, port: int) -> dict[str, Any]:
         """The platform configuration file of a gateway."""
         world, settings = self.world, copy.deepcopy(ENV)
@@ -294,7 +288,7 @@
     try:
         live.began = time.time() + 3600  # no event is due before the gateways serve
         threading.Thread(target=live.run_backends, daemon=True).start()
-        threading.Thread(target=live.send_heartbeats, daemon=True).start()
+        threading.Thread(target=live.change.send_heartbeats, args=(live.over,), daemon=True).start()
         for number in range(world.gateways):
             port = unused()
             path = folder / f"n{number}.json"
@@ -310,7 +304,7 @@
         live.began = time.time()
         return report(Load(world, places, seed).run(schedule(world, seed, len(places))))
     finally:
-        live.over = True
+        live.over.set()
         for process in processes:
             process.kill()
             process.wait()
--- a/rigs/stands.py
+++ b/rigs/stands.py
@@ -19,6 +19,7 @@
 
 from lilacloft.handover.request import request_upgrade
 from lilacloft.log import logger
+from lilacloft.net.discovery_watch import HEARTBEAT_INTERVAL
 from lilacloft.net.resp import MessageBuffer, encode, encode_fields
 from rigs.named_numbers import NamedNumbers
 
@@ -221,6 +222,11 @@
                 except OSError:
                     self.follow.remove(sock)
 
+    def send_heartbeats(self, over):
+        """Send a heartbeat to all connections each half of their maximum interval, until an event is set."""
+        while not over.wait(HEARTBEAT_INTERVAL / 2):
+            self.add(0, 0, b"")
+
 
 def framed(number, kind, payload=b""):
     return struct.pack(">IQB", len(payload) + 9, number, kind) + payload
--- a/tests/test_draining_process.py
+++ b/tests/test_draining_process.py
@@ -16,7 +16,7 @@
 
 from lilacloft.handover.quiesce import Quiescer
 from lilacloft.net.connection import Connection
-from lilacloft.net.discovery_watch import HEARTBEAT_INTERVAL, DiscoveryWatch
+from lilacloft.net.discovery_watch import DiscoveryWatch
 from lilacloft.net.resp import encode, parse_fields
 from lilacloft.record import record_types
 from lilacloft.record.reader import read
@@ -44,16 +44,11 @@
     """Creates worlds whose change log sends heartbeats: a gateway follows a silent one anew after 2 s, and an
     upgrade may take longer."""
     over = threading.Event()
-
-    def send_heartbeats(log):
-        while not over.wait(HEARTBEAT_INTERVAL / 2):
-            log.add(0, 0, b"")
-
     with write_worlds(tmp_path, limits=LIMITS) as make:
 
         def make_with_heartbeats(*caches, **more):
             world = make(*caches, **more)
-            threading.Thread(target=send_heartbeats, args=(world.log,), daemon=True).start()
+            threading.Thread(target=world.log.send_heartbeats, args=(over,), daemon=True).start()
             return world
 
         yield make_with_heartbeats
